--- /dev/null
+++ b/bench/callers/callers.go
@@ -0,0 +1,153 @@
+// Package callers are the people and programs that ask: each call is made once,
+// read to its end, and written down as its caller saw it.
+package callers
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"linedrum.example/linedrum/bench/audit"
+	"linedrum.example/linedrum/bench/standin"
+	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/verdict"
+)
+
+// Call is one question.
+type Call struct {
+	Request   string
+	Node      string // ip:port of a node's HTTP side
+	Desk      string
+	Kind      string
+	Key       string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Expiry    time.Duration
+}
+
+// Client makes calls.
+type Client struct {
+	http *http.Client
+	book *audit.Book[audit.CallerRecord]
+}
+
+// New makes a client that never repeats a call by itself.
+func New(book *audit.Book[audit.CallerRecord]) *Client {
+	return &Client{book: book, http: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second, DisableCompression: true},
+	}}
+}
+
+// Do makes one call and writes it down.
+func (c *Client) Do(ctx context.Context, call Call) audit.CallerRecord {
+	rec := audit.CallerRecord{
+		Began: time.Now().UnixNano(), Request: call.Request, Node: call.Node, Desk: call.Desk, Kind: call.Kind, Key: call.Key,
+		Prompt: standin.Digest(call.Prompt), Stream: call.Stream, Want: call.MaxTokens,
+	}
+	c.do(ctx, call, &rec)
+	rec.Ended = time.Now().UnixNano()
+	c.book.Add(rec)
+	return rec
+}
+
+func (c *Client) do(ctx context.Context, call Call, rec *audit.CallerRecord) {
+	body, _ := json.Marshal(map[string]any{"model": call.Desk, "prompt": call.Prompt, "max_tokens": call.MaxTokens, "stream": call.Stream})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Node+"/v1/completions", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		rec.Code = err.Error()
+		return
+	}
+	req.ContentLength = int64(len(body))
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(engine.HeaderRequest, call.Request)
+	req.Header.Set("X-Linedrum-Kind", call.Kind)
+	if call.Key != "" {
+		// The name must not be Idempotency-Key in net/http's own form, or its
+		// transport replays the call: written lower-case it is the same header.
+		req.Header["idempotency-key"] = []string{call.Key}
+	}
+	if call.Expiry > 0 {
+		req.Header.Set(engine.HeaderExpiry, strconv.FormatInt(call.Expiry.Milliseconds(), 10))
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		rec.Code = err.Error()
+		return
+	}
+	defer res.Body.Close()
+	rec.Status = res.StatusCode
+	rec.Verdict = res.Header.Get(verdict.Header)
+	rec.Repeat = res.Header.Get("X-Linedrum-Repeat")
+	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		c.stream(res.Body, rec)
+		return
+	}
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		rec.Code = "cut: " + err.Error()
+		return
+	}
+	if res.StatusCode != http.StatusOK {
+		var p struct {
+			Error struct{ Code, Verdict string }
+		}
+		_ = json.Unmarshal(text, &p)
+		rec.Code = p.Error.Code
+		return
+	}
+	var out struct {
+		Choices []struct {
+			Text   string  `json:"text"`
+			Finish *string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(text, &out) == nil && len(out.Choices) == 1 {
+		rec.Text, rec.Whole = out.Choices[0].Text, out.Choices[0].Finish != nil
+		rec.Tokens = strings.Count(rec.Text, " ")
+	}
+}
+
+func (c *Client) stream(body io.Reader, rec *audit.CallerRecord) {
+	in := bufio.NewScanner(body)
+	in.Buffer(nil, 1<<20)
+	var text strings.Builder
+	for in.Scan() {
+		data, ok := strings.CutPrefix(in.Text(), "data: ")
+		if !ok {
+			if strings.HasPrefix(in.Text(), "event: error") {
+				rec.Code = "stream-error"
+			}
+			continue
+		}
+		if data == "[DONE]" {
+			rec.Whole = true
+			continue
+		}
+		var out struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &out) != nil || len(out.Choices) != 1 {
+			continue
+		}
+		if rec.Tokens == 0 {
+			rec.FirstMS = (time.Now().UnixNano() - rec.Began) / int64(time.Millisecond)
+		}
+		text.WriteString(out.Choices[0].Text)
+		rec.Tokens++
+	}
+	rec.Text = text.String()
+	if err := in.Err(); err != nil {
+		rec.Whole = false
+		rec.Code = "cut: " + err.Error()
+	}
+}
--- /dev/null
+++ b/bench/cmd/linedrum-bench/demo.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"linedrum.example/linedrum/bench/fleet"
+)
+
+type demoCommand struct {
+	binary, folder string
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "run a small fleet to try by hand" }
+func (*demoCommand) Usage() string {
+	return `linedrum-bench demo [-binary FILE] [-folder FOLDER]
+  Starts three nodes and four stand-in engines on loopback, until Ctrl-C.
+  Example: linedrum-bench demo -binary bin/linedrum
+`
+}
+
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.binary, "binary", "bin/linedrum", "the linedrum program")
+	f.StringVar(&c.folder, "folder", "", "where settings, data and logs go; a new temporary folder without one")
+}
+
+func (c *demoCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *demoCommand) run() error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	if c.folder == "" {
+		folder, err := os.MkdirTemp("", "linedrum-demo-")
+		if err != nil {
+			return err
+		}
+		c.folder = folder
+	}
+	spec := fleet.Kettleby()
+	spec.Nodes, spec.Engines = 3, 4
+	f, err := fleet.New(spec, c.folder, c.binary)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	if err := f.Start(); err != nil {
+		return err
+	}
+	file := filepath.Join(c.folder, "desks.json")
+	if err := os.WriteFile(file, fleet.DeskFile(spec), 0o644); err != nil {
+		return err
+	}
+	err = fleet.Await(20*time.Second, "the desk file and the engines are taken", func() bool {
+		status, _, _ := f.Apply(f.Nodes[0], 0, "demo", fleet.DeskFile(spec))
+		if status != 200 {
+			return false
+		}
+		status, _ = f.SendEngines(f.Nodes[1])
+		return status == 200
+	})
+	if err != nil {
+		return err
+	}
+	if err := f.AwaitReady(20 * time.Second); err != nil {
+		return err
+	}
+	fmt.Printf(`The fleet serves. Settings, data and logs are in %s.
+Try, in another terminal:
+
+  %s status -node %s
+  curl -sN http://%s/v1/completions -d '{"model":"standing-orders","prompt":"when does my order leave?","max_tokens":8,"stream":true}'
+  curl -s http://%s/v1/completions -H 'Idempotency-Key: order-1' -d '{"model":"dispatch","prompt":"may order 1 ship?","max_tokens":4}'
+  %s check %s
+  %s apply -node %s -based-on 1 %s
+  %s zone -node %s empty north
+
+Ctrl-C ends it.
+`, c.folder, c.binary, f.Nodes[0].HTTP, f.Nodes[1].HTTP, f.Nodes[2].HTTP, c.binary, file, c.binary, f.Nodes[0].HTTP, file, c.binary, f.Nodes[0].HTTP)
+	<-signals
+	return nil
+}
--- /dev/null
+++ b/bench/cmd/linedrum-bench/main.go
@@ -0,0 +1,17 @@
+// Command linedrum-bench runs whole fleets on one machine with stand-ins.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&demoCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/bench/fleet/fleet.go
@@ -0,0 +1,434 @@
+// Package fleet runs whole fleets of linedrum processes on one machine, with
+// stand-in engines, on loopback ports that the system gives.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"linedrum.example/linedrum/bench/audit"
+	"linedrum.example/linedrum/bench/standin"
+	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/engine"
+)
+
+// Spec is the shape of a deployment.
+type Spec struct {
+	Name    string
+	Sites   []string
+	Nodes   int
+	Disks   int
+	Engines int
+	Pool    string
+	Pace    standin.Pace
+}
+
+// Kettleby and Dakar are the brief's deployments.
+func Kettleby() Spec {
+	return Spec{Name: "kettleby", Sites: []string{"north", "middle", "south"}, Nodes: 9, Disks: 3, Engines: 9, Pool: "roastery", Pace: standin.DefaultPace()}
+}
+
+// Dakar is the other one.
+func Dakar() Spec {
+	return Spec{Name: "dakar", Sites: []string{"plateau", "medina", "yoff"}, Nodes: 10, Disks: 3, Engines: 12, Pool: "ferry", Pace: standin.DefaultPace()}
+}
+
+// Node is one linedrum process.
+type Node struct {
+	Index    int
+	Listen   string
+	HTTP     string
+	Site     string
+	Data     string
+	Settings string
+	cmd      *exec.Cmd
+	exited   chan struct{}
+}
+
+// Running tells whether the process lives.
+func (n *Node) Running() bool {
+	if n.cmd == nil {
+		return false
+	}
+	select {
+	case <-n.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Spec    Spec
+	Folder  string
+	Binary  string
+	Nodes   []*Node
+	Engines []*standin.Engine
+	Book    *audit.Book[audit.EngineRecord]
+	Control *audit.Book[audit.ControlRecord]
+	crew    *crew.Crew
+	mu      sync.Mutex
+	serial  uint64
+	leaving map[string]bool
+	client  *http.Client
+}
+
+// Build compiles the product's program into a folder.
+func Build(folder string) (string, error) {
+	out := filepath.Join(folder, "linedrum")
+	cmd := exec.Command("go", "build", "-o", out, "linedrum.example/linedrum/cmd/linedrum")
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %v: %s", err, text)
+	}
+	return out, nil
+}
+
+// freePort finds a port that is free for datagrams and connections alike.
+func freePort() (string, error) {
+	for range 32 {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		addr := tcp.Addr().String()
+		udp, err := net.ListenPacket("udp", addr)
+		_ = tcp.Close()
+		if err == nil {
+			_ = udp.Close()
+			return addr, nil
+		}
+	}
+	return "", fmt.Errorf("no free port")
+}
+
+// New lays a deployment out in a folder; nothing runs yet.
+func New(spec Spec, folder, binary string) (*Fleet, error) {
+	f := &Fleet{Spec: spec, Folder: folder, Binary: binary, leaving: map[string]bool{}, client: &http.Client{Timeout: 15 * time.Second}}
+	f.crew = crew.New(context.Background())
+	var err error
+	if f.Book, err = audit.NewBook[audit.EngineRecord](filepath.Join(folder, "engines.jsonl")); err != nil {
+		return nil, err
+	}
+	if f.Control, err = audit.NewBook[audit.ControlRecord](filepath.Join(folder, "control.jsonl")); err != nil {
+		return nil, err
+	}
+	for i := range spec.Nodes {
+		n := &Node{Index: i, Site: spec.Sites[i%len(spec.Sites)]}
+		if n.Listen, err = freePort(); err != nil {
+			return nil, err
+		}
+		if n.HTTP, err = freePort(); err != nil {
+			return nil, err
+		}
+		if i < spec.Disks {
+			n.Data = filepath.Join(folder, fmt.Sprintf("data-%d", i))
+		}
+		f.Nodes = append(f.Nodes, n)
+	}
+	for _, n := range f.Nodes {
+		if err := f.WriteSettings(n, f.seeds()); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) seeds() []string {
+	var out []string
+	for i := 0; i < min(3, len(f.Nodes)); i++ {
+		out = append(out, f.Nodes[i].Listen)
+	}
+	return out
+}
+
+// WriteSettings writes one node's settings file.
+func (f *Fleet) WriteSettings(n *Node, seeds []string) error {
+	var founders []string
+	for _, o := range f.Nodes[:f.Spec.Disks] {
+		founders = append(founders, o.Listen)
+	}
+	b, err := json.MarshalIndent(map[string]any{
+		"fleet": f.Spec.Name, "listen": n.Listen, "http": n.HTTP, "site": n.Site, "seeds": seeds,
+		"founders": founders, "data": n.Data, "size": f.Spec.Nodes,
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	n.Settings = filepath.Join(f.Folder, fmt.Sprintf("node-%d.json", n.Index))
+	return os.WriteFile(n.Settings, b, 0o644)
+}
+
+// StartNode starts one process; its log is appended to its own file.
+func (f *Fleet) StartNode(n *Node) error {
+	log, err := os.OpenFile(filepath.Join(f.Folder, fmt.Sprintf("node-%d.log", n.Index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(f.Binary, "node", "-settings", n.Settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return err
+	}
+	n.cmd, n.exited = cmd, make(chan struct{})
+	exited := n.exited
+	f.crew.Start(func(context.Context) {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	})
+	return nil
+}
+
+// Signal sends a signal to one process that this fleet started.
+func (n *Node) Signal(sig syscall.Signal) {
+	if n.Running() {
+		_ = n.cmd.Process.Signal(sig)
+	}
+}
+
+// Kill ends one process at once and waits for its end.
+func (n *Node) Kill() {
+	if n.Running() {
+		_ = n.cmd.Process.Kill()
+		<-n.exited
+	}
+}
+
+// Exited is closed when the process has ended.
+func (n *Node) Exited() <-chan struct{} { return n.exited }
+
+// ExitCode is the code of an ended process.
+func (n *Node) ExitCode() int { return n.cmd.ProcessState.ExitCode() }
+
+// StartEngine starts one more stand-in.
+func (f *Fleet) StartEngine(name, site string, pace standin.Pace) (*standin.Engine, error) {
+	e, err := standin.Start(f.crew, name, site, f.Spec.Pool, "127.0.0.1:0", pace, f.Book)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.Engines = append(f.Engines, e)
+	f.mu.Unlock()
+	return e, nil
+}
+
+// Start brings all engines and nodes up.
+func (f *Fleet) Start() error {
+	for i := range f.Spec.Engines {
+		if _, err := f.StartEngine(fmt.Sprintf("e%02d", i), f.Spec.Sites[i%len(f.Spec.Sites)], f.Spec.Pace); err != nil {
+			return err
+		}
+	}
+	for _, n := range f.Nodes {
+		if err := f.StartNode(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop ends everything that this fleet started.
+func (f *Fleet) Stop() {
+	for _, n := range f.Nodes {
+		n.Signal(syscall.SIGCONT)
+		n.Kill()
+	}
+	f.crew.Stop()
+	f.Book.Close()
+	f.Control.Close()
+}
+
+// Call sends one operator's or platform's call and reads its reply.
+func (f *Fleet) Call(n *Node, method, path string, body any) (int, []byte, error) {
+	b, ok := body.([]byte)
+	if !ok && body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return 0, nil, err
+		}
+	}
+	req, err := http.NewRequest(method, "http://"+n.HTTP+path, bytes.NewReader(b))
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := f.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return res.StatusCode, text, err
+}
+
+// Leaving marks an engine as leaving in the next lists.
+func (f *Fleet) Leaving(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[name] = true
+}
+
+// SendEngines is the platform: it sends its list, under its next serial, to a node.
+func (f *Fleet) SendEngines(n *Node) (int, error) {
+	f.mu.Lock()
+	f.serial++
+	list := engine.List{Serial: f.serial}
+	rec := audit.ControlRecord{Act: "engines", Serial: f.serial}
+	for _, e := range f.Engines {
+		state := "live"
+		if f.leaving[e.Name] {
+			state = "leaving"
+			rec.Gone = append(rec.Gone, e.Name)
+		} else {
+			rec.Back = append(rec.Back, e.Name)
+		}
+		list.Engines = append(list.Engines, engine.Listed{Name: e.Name, Addr: e.Addr(), Site: e.Site, Pool: e.Pool, State: state})
+	}
+	f.mu.Unlock()
+	rec.Began = time.Now().UnixNano()
+	status, _, err := f.Call(n, http.MethodPut, "/linedrum/engines", list)
+	rec.Ended, rec.Status = time.Now().UnixNano(), status
+	f.Control.Add(rec)
+	return status, err
+}
+
+// Apply sends a desk file.
+func (f *Fleet) Apply(n *Node, based uint64, id string, file []byte) (int, []byte, error) {
+	rec := audit.ControlRecord{Act: "desk", Based: based, Began: time.Now().UnixNano()}
+	var pools struct{ Pools []struct{ Name string } }
+	_ = json.Unmarshal(file, &pools)
+	for _, p := range pools.Pools {
+		rec.Pools = append(rec.Pools, p.Name)
+	}
+	status, body, err := f.Call(n, http.MethodPut, fmt.Sprintf("/linedrum/desk?based_on=%d&id=%s", based, id), file)
+	var out struct{ Serial uint64 }
+	_ = json.Unmarshal(body, &out)
+	rec.Ended, rec.Status, rec.Serial = time.Now().UnixNano(), status, out.Serial
+	f.Control.Add(rec)
+	return status, body, err
+}
+
+// Zone empties a zone or brings it back.
+func (f *Fleet) Zone(n *Node, site string, empty bool) (int, error) {
+	state := "in"
+	if empty {
+		state = "empty"
+	}
+	rec := audit.ControlRecord{Act: "zone", Site: site, Empty: empty, Began: time.Now().UnixNano()}
+	status, _, err := f.Call(n, http.MethodPost, "/linedrum/sites", map[string]string{"site": site, "state": state})
+	rec.Ended, rec.Status = time.Now().UnixNano(), status
+	f.Control.Add(rec)
+	return status, err
+}
+
+// Await polls until a condition holds or the time is over.
+func Await(limit time.Duration, what string, holds func() bool) error {
+	end := time.Now().Add(limit)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %v: %s", limit, what)
+		}
+		<-tick.C
+	}
+	return nil
+}
+
+// Status reads one node's status page.
+func (f *Fleet) Status(n *Node) (map[string]any, error) {
+	status, body, err := f.Call(n, http.MethodGet, "/linedrum/status", nil)
+	if err != nil || status != http.StatusOK {
+		return nil, fmt.Errorf("status %d: %v", status, err)
+	}
+	var out map[string]any
+	return out, json.Unmarshal(body, &out)
+}
+
+// Ready tells whether a node says that it is ready.
+func (f *Fleet) Ready(n *Node) bool {
+	status, _, err := f.Call(n, http.MethodGet, "/readyz", nil)
+	return err == nil && status == http.StatusOK
+}
+
+// AwaitReady waits until all running nodes are ready and the pool has both roles obeyed.
+func (f *Fleet) AwaitReady(limit time.Duration) error {
+	return Await(limit, "all nodes ready", func() bool {
+		for _, n := range f.Nodes {
+			if n.Running() && (!f.Ready(n) || !f.roles(n)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *Fleet) roles(n *Node) bool {
+	s, err := f.Status(n)
+	if err != nil {
+		return false
+	}
+	had := map[string]bool{}
+	list, _ := s["engines"].([]any)
+	for _, e := range list {
+		m, _ := e.(map[string]any)
+		if m["role"] == m["reports"] && m["silent"] == false {
+			role, _ := m["role"].(string)
+			had[role] = true
+		}
+	}
+	return had[engine.Prefill] && had[engine.Decode]
+}
+
+// DeskFile is a deployment's desk file, with a strict desk of once-only checks
+// and a patient one of streamed questions.
+func DeskFile(spec Spec) []byte {
+	checks, questions := "dispatch", "standing-orders"
+	if spec.Name == "dakar" {
+		checks, questions = "seats", "fares"
+	}
+	b, _ := json.MarshalIndent(map[string]any{
+		"pools": []any{map[string]any{"name": spec.Pool, "site_cost": 0.5}},
+		"desks": []any{
+			map[string]any{"name": checks, "pool": spec.Pool, "kinds": []any{
+				map[string]any{"name": "check", "expiry": "8s", "queue": 64, "once": "required", "max_tokens": 16, "share": 1},
+			}},
+			map[string]any{"name": questions, "pool": spec.Pool, "kinds": []any{
+				map[string]any{"name": "person", "expiry": "10s", "queue": 64, "streams": true, "max_tokens": 256, "share": 2},
+			}},
+		},
+	}, "", "  ")
+	return b
+}
+
+// Desks names a deployment's two desks: of checks, and of people's questions.
+func Desks(spec Spec) (checks, questions string) {
+	if spec.Name == "dakar" {
+		return "seats", "fares"
+	}
+	return "dispatch", "standing-orders"
+}
+
+// Logs shows the last lines of every node's log, for a failed test.
+func (f *Fleet) Logs(lines int) string {
+	var out strings.Builder
+	for _, n := range f.Nodes {
+		b, _ := os.ReadFile(filepath.Join(f.Folder, fmt.Sprintf("node-%d.log", n.Index)))
+		all := strings.Split(strings.TrimSpace(string(b)), "\n")
+		fmt.Fprintf(&out, "--- node %d (%s)\n%s\n", n.Index, n.Site, strings.Join(all[max(0, len(all)-lines):], "\n"))
+	}
+	return out.String()
+}
--- /dev/null
+++ b/calot/member.go
@@ -0,0 +1,351 @@
+package calot
+
+import (
+	"sort"
+	"time"
+
+	"linedrum.example/linedrum/ring"
+)
+
+// Clock is boot time: it counts while the machine sleeps and never goes back.
+type Clock interface{ Now() time.Duration }
+
+// Net sends one datagram and promises nothing.
+type Net interface{ Send(to string, m Message) }
+
+// Bulk asks for a member's whole table; the reply comes back through Copied or CopyFailed.
+type Bulk interface{ Copy(from string) }
+
+// Watch hears of each change to the table.
+type Watch interface {
+	TableChanged(subject Entry, departed bool)
+}
+
+type slot struct {
+	entry    Entry
+	id       ring.ID
+	departed bool
+	left     bool          // departed of its own will: no need to probe
+	expires  time.Duration // alive: the paper's timer; departed: when to forget
+	heard    time.Duration // last datagram from it
+	shunned  bool          // did not acknowledge: not used until heard again
+}
+
+type pending struct {
+	to    string
+	m     Message
+	tries int
+	due   time.Duration
+	gone  func() // what to do when nobody acknowledges
+}
+
+type heardSeq struct {
+	from string
+	seq  uint64
+}
+
+// Member is one node's view of the ring. It is not safe for concurrent use:
+// its owner holds one lock around every call (section 7.2).
+type Member struct {
+	self   Entry
+	id     ring.ID
+	seeds  []string
+	timing Timing
+	clock  Clock
+	net    Net
+	bulk   Bulk
+	watch  Watch
+
+	table  map[string]*slot
+	sorted []*slot // alive ones, by identifier; rebuilt on change
+	stale  bool
+
+	joined    bool
+	leaving   bool
+	seedAt    int
+	seedRound int
+	joinDue   time.Duration
+	copying   string
+
+	seq      uint64
+	pendings map[uint64]*pending
+	seen     map[heardSeq]time.Duration
+
+	successor    string
+	watchSince   time.Duration
+	watchFor     time.Duration
+	beatDue      time.Duration
+	announceDue  time.Duration
+	probeDue     time.Duration
+	probeAt      int
+	mergeDue     time.Duration
+	announceSoon bool
+
+	// Notices counts notice datagrams sent, the figure of the paper's section 3.3.
+	Notices uint64
+}
+
+// New makes a member that has not joined yet. The first sequence number should
+// be random, so that a restarted process is not mistaken for its earlier life.
+func New(self Entry, seeds []string, timing Timing, clock Clock, net Net, bulk Bulk, watch Watch, firstSeq uint64) *Member {
+	self.Incarnation = 0
+	m := &Member{
+		self: self, id: self.ID(), timing: timing,
+		clock: clock, net: net, bulk: bulk, watch: watch,
+		table: map[string]*slot{}, pendings: map[uint64]*pending{}, seen: map[heardSeq]time.Duration{},
+		seq: firstSeq,
+	}
+	m.Reseed(seeds)
+	return m
+}
+
+// Reseed takes a new list of seeds, as a reload of the settings brings it.
+func (m *Member) Reseed(seeds []string) {
+	m.seeds = m.seeds[:0:0]
+	for _, seed := range seeds {
+		if seed != m.self.Addr {
+			m.seeds = append(m.seeds, seed)
+		}
+	}
+}
+
+// Self is this member's own entry.
+func (m *Member) Self() Entry { return m.self }
+
+// Joined tells whether this member has a place on a ring.
+func (m *Member) Joined() bool { return m.joined }
+
+// Join starts looking for a ring through the seeds (section 2.3).
+func (m *Member) Join() { m.askSeed() }
+
+func (m *Member) askSeed() {
+	now := m.clock.Now()
+	m.copying = ""
+	if m.seedAt >= len(m.seeds) {
+		m.seedAt = 0
+		m.seedRound++
+		// Nobody replied in two rounds: stand alone and let probes join the rings.
+		if len(m.seeds) == 0 || m.seedRound >= 2 {
+			m.becomeMember()
+			return
+		}
+	}
+	seed := m.seeds[m.seedAt]
+	m.seedAt++
+	m.joinDue = now + 6*m.timing.Ack
+	m.net.Send(seed, Message{Kind: KindLookup, Seq: m.nextSeq(), From: m.self, Key: m.id, Origin: m.self})
+}
+
+func (m *Member) becomeMember() {
+	if m.self.Incarnation == 0 {
+		m.self.Incarnation = 1
+	}
+	now := m.clock.Now()
+	m.joined = true
+	m.copying = ""
+	m.announceDue = now + m.timing.Announce
+	m.beatDue = now
+	m.probeDue = now + m.timing.Probe
+	m.watch.TableChanged(m.self, false)
+	m.announce(m.self, false, false)
+}
+
+// Copied takes a bulk copy of another member's table: its alive and departed entries.
+func (m *Member) Copied(from string, alive, departed []Entry) {
+	if m.joined {
+		m.merge(alive, departed)
+		return
+	}
+	if from != m.copying {
+		return
+	}
+	for _, e := range departed {
+		m.learnOwn(e)
+		if e.Addr != m.self.Addr {
+			m.apply(e, true, false)
+		}
+	}
+	for _, e := range alive {
+		m.learnOwn(e)
+		if e.Addr != m.self.Addr {
+			m.apply(e, false, false)
+		}
+	}
+	m.becomeMember()
+}
+
+// learnOwn raises this member's incarnation over what the cohort remembers of its
+// earlier life; a member without a disk has no other memory of it (section 2.4).
+func (m *Member) learnOwn(e Entry) {
+	if e.Addr == m.self.Addr && e.Incarnation >= m.self.Incarnation {
+		m.self.Incarnation = e.Incarnation + 1
+	}
+}
+
+// CopyFailed says that a table could not be had.
+func (m *Member) CopyFailed(from string) {
+	if !m.joined && from == m.copying {
+		m.askSeed()
+	}
+}
+
+// merge joins two rings that meet again: whoever is new to us, or departed to us
+// and alive to them, is probed and shows by its reply that it lives.
+func (m *Member) merge(alive, departed []Entry) {
+	for _, e := range alive {
+		if e.Addr == m.self.Addr {
+			continue
+		}
+		known := m.table[e.Addr]
+		if known == nil || known.departed && !known.left || known.entry.Incarnation < e.Incarnation {
+			m.probe(e.Addr)
+		}
+	}
+	for _, e := range departed {
+		if e.Addr == m.self.Addr && e.Incarnation >= m.self.Incarnation {
+			m.refute(e.Incarnation)
+		}
+	}
+	m.announceSoon = true
+}
+
+func (m *Member) refute(incarnation uint64) {
+	if m.leaving || !m.joined {
+		return
+	}
+	m.self.Incarnation = incarnation + 1
+	m.announceSoon = true
+}
+
+// Leave tells both neighbours, and asks the predecessor to announce it.
+// Left turns true once that is acknowledged or given up.
+func (m *Member) Leave() {
+	if m.leaving || !m.joined {
+		m.leaving = true
+		return
+	}
+	m.leaving = true
+	predecessor, successor := m.neighbours()
+	if predecessor == nil {
+		return
+	}
+	m.sendAcked(predecessor.entry.Addr, Message{Kind: KindLeave, From: m.self}, nil)
+	if successor != predecessor {
+		m.sendAcked(successor.entry.Addr, Message{Kind: KindLeave, From: m.self}, nil)
+	}
+}
+
+// Left tells whether a leaver has been heard, or there is nobody to hear it.
+func (m *Member) Left() bool {
+	if !m.leaving {
+		return false
+	}
+	for _, p := range m.pendings {
+		if p.m.Kind == KindLeave {
+			return false
+		}
+	}
+	return true
+}
+
+// Alive lists the live cohort in ring order, this member included once it has joined.
+func (m *Member) Alive() []Entry {
+	m.resort()
+	out := make([]Entry, 0, len(m.sorted)+1)
+	placed := !m.joined || m.leaving
+	for _, s := range m.sorted {
+		if !placed && m.id.Cmp(s.id) < 0 {
+			out = append(out, m.self)
+			placed = true
+		}
+		out = append(out, s.entry)
+	}
+	if !placed {
+		out = append(out, m.self)
+	}
+	return out
+}
+
+// Departed lists the entries kept so that late notices cannot revive them.
+func (m *Member) Departed() []Entry {
+	var out []Entry
+	for _, s := range m.table {
+		if s.departed {
+			out = append(out, s.entry)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Addr < out[j].Addr })
+	return out
+}
+
+// Nearest lists the live cohort by absolute distance to a key: its owner first,
+// then whom to try next on a timeout (section 2.1).
+func (m *Member) Nearest(key ring.ID) []Entry {
+	out := m.Alive()
+	dist := make(map[string]ring.ID, len(out))
+	for _, e := range out {
+		dist[e.Addr] = ring.Distance(e.ID(), key)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		c := dist[out[i].Addr].Cmp(dist[out[j].Addr])
+		return c < 0 || c == 0 && out[i].Addr < out[j].Addr
+	})
+	return out
+}
+
+// Lookup finds one address in the table.
+func (m *Member) Lookup(addr string) (Entry, bool) {
+	if addr == m.self.Addr {
+		return m.self, m.joined
+	}
+	s := m.table[addr]
+	if s == nil || s.departed {
+		return Entry{}, false
+	}
+	return s.entry, true
+}
+
+func (m *Member) resort() {
+	if !m.stale {
+		return
+	}
+	m.sorted = m.sorted[:0:0]
+	for _, s := range m.table {
+		if !s.departed {
+			m.sorted = append(m.sorted, s)
+		}
+	}
+	sort.Slice(m.sorted, func(i, j int) bool { return m.sorted[i].id.Cmp(m.sorted[j].id) < 0 })
+	m.stale = false
+}
+
+// successorOf is the first usable live member clockwise after a point.
+func (m *Member) successorOf(point ring.ID, inclusive bool) *slot {
+	m.resort()
+	n := len(m.sorted)
+	at := sort.Search(n, func(i int) bool {
+		c := m.sorted[i].id.Cmp(point)
+		return c > 0 || inclusive && c == 0
+	})
+	for i := 0; i < n; i++ {
+		s := m.sorted[(at+i)%n]
+		if !s.shunned {
+			return s
+		}
+	}
+	return nil
+}
+
+// neighbours are this member's links, shunned or not: only silence of a
+// successor, or a notice, takes a link away.
+func (m *Member) neighbours() (predecessor, successor *slot) {
+	m.resort()
+	n := len(m.sorted)
+	if n == 0 {
+		return nil, nil
+	}
+	at := sort.Search(n, func(i int) bool { return m.sorted[i].id.Cmp(m.id) > 0 })
+	return m.sorted[(at+n-1)%n], m.sorted[at%n]
+}
+
+func (m *Member) nextSeq() uint64 { m.seq++; return m.seq }
--- /dev/null
+++ b/cmd/linedrum/node.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/google/subcommands"
+
+	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/node"
+	"linedrum.example/linedrum/settings"
+	"linedrum.example/linedrum/strict"
+)
+
+type nodeCommand struct {
+	file, listen, http, site, seeds, data string
+	debug, test                           bool
+}
+
+func (*nodeCommand) Name() string     { return "node" }
+func (*nodeCommand) Synopsis() string { return "run one process of the fleet" }
+func (*nodeCommand) Usage() string {
+	return `linedrum node -settings FILE [-listen IP:PORT] [-http IP:PORT] [-site NAME] [-seeds A,B,C] [-data FOLDER]
+  Runs one process of the fleet until SIGTERM or SIGINT; SIGHUP reads the settings anew.
+  Flags stand over the settings file. Logs go to standard error, one JSON object a line.
+  Example: linedrum node -settings /etc/linedrum/node.json
+`
+}
+
+func (c *nodeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", "", "the settings file (docs/settings.md)")
+	f.StringVar(&c.listen, "listen", "", "ip:port between nodes")
+	f.StringVar(&c.http, "http", "", "ip:port for callers and operators")
+	f.StringVar(&c.site, "site", "", "the site, or zone, of this machine")
+	f.StringVar(&c.seeds, "seeds", "", "addresses of other nodes, with commas")
+	f.StringVar(&c.data, "data", "", "folder of this machine's disk")
+	f.BoolVar(&c.debug, "debug", false, "log every request")
+	f.BoolVar(&c.test, "test", false, "only check the settings")
+}
+
+// load reads the settings with the flags over them.
+func (c *nodeCommand) load() (settings.Settings, strict.Faults) {
+	b, err := os.ReadFile(c.file)
+	if err != nil {
+		return settings.Settings{}, strict.Faults{{Place: "-settings", Reason: err.Error()}}
+	}
+	return settings.ParseOver(b, func(s *settings.Settings) {
+		for _, flagged := range []struct {
+			value string
+			into  *string
+		}{{c.listen, &s.Listen}, {c.http, &s.HTTP}, {c.site, &s.Site}, {c.data, &s.Data}} {
+			if flagged.value != "" {
+				*flagged.into = flagged.value
+			}
+		}
+		if c.seeds != "" {
+			s.Seeds = strings.Split(c.seeds, ",")
+		}
+	})
+}
+
+func printFaults(faults strict.Faults) {
+	for _, f := range faults {
+		fmt.Fprintln(os.Stderr, f)
+	}
+}
+
+func (c *nodeCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 || c.file == "" {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return exitUsage
+	}
+	s, faults := c.load()
+	if len(faults) > 0 {
+		printFaults(faults)
+		return exitUsage
+	}
+	if c.test {
+		fmt.Println("the settings are sound")
+		return subcommands.ExitSuccess
+	}
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
+	if c.debug {
+		logger.Level = log.DebugLevel
+	}
+	out := event.New(logger)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n, err := node.Start(s, out)
+	if err != nil {
+		out.Say(event.StartRefused, event.Fields{"reason": err.Error()})
+		return exitFailed
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		fresh, faults := c.load()
+		if len(faults) == 0 {
+			faults = n.Reload(fresh)
+		}
+		if len(faults) > 0 {
+			out.Say(event.ReloadRefused, event.Fields{"reason": faults.Error()})
+			continue
+		}
+		out.Say(event.Reloaded, nil)
+	}
+	n.Stop()
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/crew/crew.go
@@ -0,0 +1,86 @@
+// Package crew is the one place where goroutines are started (design.md section
+// 7.1): long duties, and pools of workers over bounded queues.
+package crew
+
+import (
+	"context"
+	"sync"
+)
+
+// Crew is all the goroutines of one process.
+type Crew struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New makes a crew that works until Stop, or until the parent is done.
+func New(parent context.Context) *Crew {
+	ctx, cancel := context.WithCancel(parent)
+	return &Crew{ctx: ctx, cancel: cancel}
+}
+
+// Context ends when the crew is told to stop.
+func (c *Crew) Context() context.Context { return c.ctx }
+
+// Start runs one duty until it returns; it should when its context ends.
+func (c *Crew) Start(run func(ctx context.Context)) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		run(c.ctx)
+	}()
+}
+
+// Stop tells all duties to end and waits for them.
+func (c *Crew) Stop() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// Pool is a fixed number of workers over one bounded queue.
+type Pool struct {
+	tasks chan func(ctx context.Context)
+}
+
+// Pool starts the workers.
+func (c *Crew) Pool(workers, depth int) *Pool {
+	p := &Pool{tasks: make(chan func(ctx context.Context), depth)}
+	for range workers {
+		c.Start(func(ctx context.Context) {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case task := <-p.tasks:
+					task(ctx)
+				}
+			}
+		})
+	}
+	return p
+}
+
+// Submit queues a task; false means that the queue is full and nothing was queued.
+func (p *Pool) Submit(task func(ctx context.Context)) bool {
+	select {
+	case p.tasks <- task:
+		return true
+	default:
+		return false
+	}
+}
+
+// Cleanup is a stack of what to undo, last first.
+type Cleanup struct{ steps []func() }
+
+// Add puts one step on the stack.
+func (s *Cleanup) Add(step func()) { s.steps = append(s.steps, step) }
+
+// Run takes every step, last added first, once.
+func (s *Cleanup) Run() {
+	for i := len(s.steps) - 1; i >= 0; i-- {
+		s.steps[i]()
+	}
+	s.steps = nil
+}
--- /dev/null
+++ b/desk/desk.go
@@ -0,0 +1,192 @@
+// Package desk is the operators' file: which questions go to which pool, and how
+// patient each kind of caller is (docs/desk-files.md). The offline check and
+// the fleet use this same code.
+package desk
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+
+	"linedrum.example/linedrum/strict"
+)
+
+// File is one whole desk file. It is taken entirely or not at all.
+type File struct {
+	Pools []Pool `json:"pools" need:"yes" min:"1" max:"64"`
+	Desks []Desk `json:"desks" need:"yes" min:"1" max:"4096"`
+}
+
+// Pool is a set of engines by name, and how it is to be split in roles.
+type Pool struct {
+	Name       string  `json:"name" need:"yes"`
+	MinPrefill int     `json:"min_prefill" min:"1" max:"1000"`
+	MinDecode  int     `json:"min_decode" min:"1" max:"1000"`
+	SiteCost   float64 `json:"site_cost" min:"0" max:"100"` // how dear traffic between sites is, 1 as a full engine
+}
+
+// Desk takes the questions that name it and sends them to one pool.
+type Desk struct {
+	Name  string `json:"name" need:"yes"`
+	Pool  string `json:"pool" need:"yes"`
+	Model string `json:"model" max:"128"` // the name that engines know; the desk's own name without one
+	Kinds []Kind `json:"kinds" need:"yes" min:"1" max:"64"`
+}
+
+// Kind is one kind of caller, and its patience.
+type Kind struct {
+	Name      string          `json:"name" need:"yes"`
+	Expiry    strict.Duration `json:"expiry" need:"yes" min:"50ms" max:"10m"`
+	Queue     int             `json:"queue" need:"yes" min:"0" max:"10000"`
+	Streams   bool            `json:"streams"`
+	Once      string          `json:"once" any:"required allowed never"`
+	MaxTokens int             `json:"max_tokens" min:"1" max:"1000000"`
+	Share     int             `json:"share" min:"1" max:"100"` // turns in the queue beside other kinds
+}
+
+// The three answers to whether a kind's requests are once-only.
+const (
+	OnceRequired = "required"
+	OnceAllowed  = "allowed"
+	OnceNever    = "never"
+)
+
+// Name is what pools, desks and kinds may be called.
+var nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Parse reads and checks a file, and names every fault with its place.
+func Parse(b []byte) (*File, strict.Faults) {
+	f := &File{}
+	faults := strict.Load(b, f)
+	f.fill()
+	if len(faults) == 0 {
+		f.check(&faults)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return f, nil
+}
+
+func (f *File) fill() {
+	for i := range f.Pools {
+		p := &f.Pools[i]
+		p.MinPrefill, p.MinDecode = max(p.MinPrefill, 1), max(p.MinDecode, 1)
+	}
+	for i := range f.Desks {
+		d := &f.Desks[i]
+		if d.Model == "" {
+			d.Model = d.Name
+		}
+		for j := range d.Kinds {
+			k := &d.Kinds[j]
+			if k.Once == "" {
+				k.Once = OnceNever
+			}
+			if k.MaxTokens == 0 {
+				k.MaxTokens = 4096
+			}
+			k.Share = max(k.Share, 1)
+		}
+	}
+}
+
+func (f *File) check(faults *strict.Faults) {
+	pools := map[string]bool{}
+	for i, p := range f.Pools {
+		checkName(faults, pools, fmt.Sprintf("pools[%d].name", i), p.Name)
+	}
+	desks := map[string]bool{}
+	for i, d := range f.Desks {
+		at := fmt.Sprintf("desks[%d]", i)
+		checkName(faults, desks, at+".name", d.Name)
+		if !pools[d.Pool] {
+			faults.Add(at+".pool", "no pool of this file is called %q", d.Pool)
+		}
+		kinds := map[string]bool{}
+		for j, k := range d.Kinds {
+			checkName(faults, kinds, fmt.Sprintf("%s.kinds[%d].name", at, j), k.Name)
+			if k.Once == OnceRequired && k.Streams {
+				faults.Add(fmt.Sprintf("%s.kinds[%d].streams", at, j), "a once-only kind cannot stream, since its reply is kept whole for repeats")
+			}
+		}
+	}
+}
+
+func checkName(faults *strict.Faults, had map[string]bool, at, name string) {
+	if !nameRule.MatchString(name) {
+		faults.Add(at, "%q must be 1 to 63 of a-z 0-9 . _ - and start with a letter or digit", name)
+	}
+	if had[name] {
+		faults.Add(at, "%q is used twice", name)
+	}
+	had[name] = true
+}
+
+// Find looks up a desk and a kind of caller; an empty kind means the desk's
+// only one. It never falls back to another desk or pool.
+func (f *File) Find(desk, kind string) (Desk, Kind, error) {
+	for _, d := range f.Desks {
+		if d.Name != desk {
+			continue
+		}
+		if kind == "" && len(d.Kinds) == 1 {
+			return d, d.Kinds[0], nil
+		}
+		for _, k := range d.Kinds {
+			if k.Name == kind {
+				return d, k, nil
+			}
+		}
+		if kind == "" {
+			return d, Kind{}, fmt.Errorf("desk %q has several kinds of caller: name one", desk)
+		}
+		return d, Kind{}, fmt.Errorf("desk %q knows no kind of caller %q", desk, kind)
+	}
+	return Desk{}, Kind{}, fmt.Errorf("no desk is called %q", desk)
+}
+
+// Pool looks up a pool.
+func (f *File) Pool(name string) (Pool, bool) {
+	for _, p := range f.Pools {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Stored is the register's value: the file, and the ids of the latest applies,
+// so that an operator can ask what became of one.
+type Stored struct {
+	File    json.RawMessage `json:"file"`
+	Applied []Applied       `json:"applied"`
+}
+
+// Applied is one accepted apply.
+type Applied struct {
+	ID     string `json:"id"`
+	Serial uint64 `json:"serial"`
+}
+
+// KeepApplied is how many applies a register remembers.
+const KeepApplied = 64
+
+// Next is the value that takes a file on top of what is stored.
+func (s Stored) Next(file json.RawMessage, id string, serial uint64) Stored {
+	applied := append(append([]Applied(nil), s.Applied...), Applied{id, serial})
+	if len(applied) > KeepApplied {
+		applied = applied[len(applied)-KeepApplied:]
+	}
+	return Stored{File: file, Applied: applied}
+}
+
+// Find looks for an accepted apply.
+func (s Stored) Find(id string) (uint64, bool) {
+	for _, a := range s.Applied {
+		if a.ID == id {
+			return a.Serial, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,190 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"linedrum.example/linedrum/verdict"
+)
+
+// Headers between linedrum and engines, and back.
+const (
+	HeaderRequest = "X-Request-Id"
+	HeaderExpiry  = "X-Linedrum-Expiry-Ms"
+	HeaderLapsed  = "X-Linedrum-Lapsed"
+)
+
+// Codes of a failed go.
+const (
+	CodeLapsed = "memory-lapsed"
+	CodeBusy   = "engine-busy"
+	CodeRole   = "engine-role"
+	CodeDial   = "engine-unreachable"
+	CodeCut    = "engine-cut"
+	CodeBad    = "engine-bad-reply"
+	CodeInput  = "engine-refused-input"
+)
+
+// Client calls engines. It never repeats a call by itself: GetBody is unset and
+// no Idempotency-Key is ever forwarded, since net/http replays a POST that bears one.
+type Client struct {
+	http     *http.Client
+	maxReply int64
+}
+
+// NewClient makes a client whose dials take no longer than dial.
+func NewClient(dial time.Duration, maxReply int64) *Client {
+	dialer := &net.Dialer{Timeout: dial}
+	return &Client{maxReply: maxReply, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Call is one go at an engine.
+type Call struct {
+	Addr    string
+	Request string // the request's id
+	Expiry  time.Duration
+	Body    []byte
+	Stream  bool
+}
+
+// Reply is an engine's answer. A stream's Body is read by the caller, and closed.
+type Reply struct {
+	Body   []byte
+	Stream io.ReadCloser
+}
+
+// Complete sends one completion call and sorts every outcome into a verdict
+// (design.md section 5.2).
+func (c *Client) Complete(ctx context.Context, call Call) (Reply, error) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+		WroteHeaders:     func() { wrote.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
+		"http://"+call.Addr+"/v1/completions", io.NopCloser(bytes.NewReader(call.Body)))
+	if err != nil {
+		return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: CodeDial, Reason: "the engine's address is bad", Cause: err}
+	}
+	req.ContentLength = int64(len(call.Body))
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderRequest, call.Request)
+	req.Header.Set(HeaderExpiry, strconv.FormatInt(call.Expiry.Milliseconds(), 10))
+	res, err := c.http.Do(req)
+	if err != nil {
+		if !wrote.Load() {
+			return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: CodeDial, Reason: "the engine could not be reached", Cause: err}
+		}
+		return Reply{}, cut(err)
+	}
+	if res.StatusCode != http.StatusOK {
+		defer res.Body.Close()
+		return Reply{}, refusal(res)
+	}
+	if echoed := res.Header.Get(HeaderRequest); echoed != call.Request {
+		_ = res.Body.Close()
+		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeBad, Reason: "the engine's reply names another request"}
+	}
+	if call.Stream {
+		return Reply{Stream: res.Body}, nil
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxReply+1))
+	if err != nil {
+		return Reply{}, cut(err)
+	}
+	if int64(len(body)) > c.maxReply {
+		return Reply{}, &verdict.Error{Verdict: verdict.Ran, Code: CodeBad, Reason: "the engine's reply is too long"}
+	}
+	if !json.Valid(body) {
+		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeBad, Reason: "the engine's reply is not JSON"}
+	}
+	return Reply{Body: body}, nil
+}
+
+func cut(err error) error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeCut, Reason: "the connection to the engine broke", Cause: err}
+}
+
+// refusal reads a status that is not 200. Only an engine that says so itself,
+// in the verdict header, proves that it did not start.
+func refusal(res *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
+	e := &verdict.Error{Verdict: verdict.MayHaveRun, Status: res.StatusCode, Code: CodeBad, Reason: "the engine replied " + res.Status, Cause: errors.New(string(text))}
+	if v, ok := verdict.Parse(res.Header.Get(verdict.Header)); ok {
+		e.Verdict = v
+	}
+	switch {
+	case e.Verdict != verdict.NotRun:
+	case res.Header.Get(HeaderLapsed) != "":
+		e.Code = CodeLapsed
+	case res.StatusCode == http.StatusConflict:
+		e.Code = CodeRole
+	case res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusServiceUnavailable:
+		e.Code = CodeBusy
+	case res.StatusCode >= 400 && res.StatusCode < 500:
+		e.Code = CodeInput
+	}
+	return e
+}
+
+// Load asks an engine for its report.
+func (c *Client) Load(ctx context.Context, addr string) (Load, error) {
+	var out Load
+	return out, c.call(ctx, http.MethodGet, "http://"+addr+"/linedrum/load", nil, &out)
+}
+
+// ErrStale is an engine that obeyed a newer order already.
+const ErrStale = errors.ConstError("the engine obeyed a newer order")
+
+// Order gives an engine its role.
+func (c *Client) Order(ctx context.Context, addr string, order Order) error {
+	return c.call(ctx, http.MethodPost, "http://"+addr+"/linedrum/role", order, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusConflict {
+		return ErrStale
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("engine replied %s", res.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Trace(json.NewDecoder(io.LimitReader(res.Body, 64<<10)).Decode(out))
+}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,113 @@
+// Package engine is what linedrum knows and says of model engines
+// (docs/interfaces.md section 3): the platform's list, load reports, role
+// orders, and the two calls that serve a request.
+package engine
+
+import (
+	"fmt"
+	"net/netip"
+
+	"linedrum.example/linedrum/strict"
+)
+
+// Roles.
+const (
+	Prefill = "prefill"
+	Decode  = "decode"
+)
+
+// List is the platform's list of engines, whole, under the platform's own serial.
+type List struct {
+	Serial  uint64   `json:"serial" need:"yes" min:"1"`
+	Engines []Listed `json:"engines" need:"yes" max:"4096"`
+}
+
+// Listed is one engine of the list.
+type Listed struct {
+	Name  string `json:"name" need:"yes" min:"1" max:"63"`
+	Addr  string `json:"addr" need:"yes"`
+	Site  string `json:"site" need:"yes" min:"1" max:"64"`
+	Pool  string `json:"pool" need:"yes" min:"1" max:"63"`
+	State string `json:"state" any:"live leaving"`
+}
+
+// Leaving tells that this engine must get no new work.
+func (l Listed) Leaving() bool { return l.State == "leaving" }
+
+// ParseList reads and checks a list.
+func ParseList(b []byte) (*List, strict.Faults) {
+	l := &List{}
+	faults := strict.Load(b, l)
+	names, addrs := map[string]bool{}, map[string]bool{}
+	for i := range l.Engines {
+		e := &l.Engines[i]
+		if e.State == "" {
+			e.State = "live"
+		}
+		at := fmt.Sprintf("engines[%d]", i)
+		if ap, err := netip.ParseAddrPort(e.Addr); e.Addr != "" && (err != nil || ap.Port() == 0) {
+			faults.Add(at+".addr", "%q is not an IP number with a port", e.Addr)
+		}
+		if names[e.Name] && e.Name != "" {
+			faults.Add(at+".name", "%q is used twice", e.Name)
+		}
+		if addrs[e.Addr] && e.Addr != "" {
+			faults.Add(at+".addr", "%q is used twice", e.Addr)
+		}
+		names[e.Name], addrs[e.Addr] = true, true
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return l, nil
+}
+
+// Fence orders role orders: a higher epoch wins, then a higher serial.
+type Fence struct {
+	Count  uint64 `json:"count"`
+	Holder string `json:"holder"`
+	Serial uint64 `json:"serial"`
+}
+
+// Less orders fences.
+func (f Fence) Less(o Fence) bool {
+	if f.Count != o.Count {
+		return f.Count < o.Count
+	}
+	if f.Holder != o.Holder {
+		return f.Holder < o.Holder
+	}
+	return f.Serial < o.Serial
+}
+
+// Order gives an engine its role. An engine obeys it when its fence is higher
+// than the last one it obeyed, and says 409 otherwise.
+type Order struct {
+	Pool  string `json:"pool"`
+	Role  string `json:"role"`
+	Fence Fence  `json:"fence"`
+}
+
+// Load is what an engine reports of itself.
+type Load struct {
+	Role    string `json:"role"`
+	Fence   Fence  `json:"fence"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+	Slots   int    `json:"slots"`
+	AgeMS   int64  `json:"age_ms"` // since it started
+	Boot    string `json:"boot"`   // changes when it starts anew
+	// What it did in the last while, for the split of roles.
+	PrefillMS int64 `json:"prefill_ms"`
+	DecodeMS  int64 `json:"decode_ms"`
+}
+
+// RoleTable is the register's value for one pool: who reads and who writes.
+type RoleTable struct {
+	Roles map[string]string `json:"roles"`
+}
+
+// SiteState is the register's value for the emptied sites.
+type SiteState struct {
+	Empty map[string]bool `json:"empty"`
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,160 @@
+// Package gate holds the bounded queues of a node, one a kind of caller, and
+// lets the head of each in by turns, so that a crowd at one desk does not starve
+// the people at another (design.md section 5.3).
+package gate
+
+import (
+	"sync"
+	"time"
+)
+
+// Waiter is one request in a queue.
+type Waiter struct {
+	grant   chan struct{}
+	line    *line
+	granted bool
+	try     func() bool // reserves engines; true when it got them
+}
+
+// Granted is closed once the waiter's turn came and its try succeeded.
+func (w *Waiter) Granted() <-chan struct{} { return w.grant }
+
+type line struct {
+	key     string
+	share   int
+	pass    float64
+	queue   []*Waiter
+	granted time.Duration // last grant
+	pace    time.Duration // smoothed time between grants
+}
+
+// Clock is boot time.
+type Clock interface{ Now() time.Duration }
+
+// Gate is safe for concurrent use. Its lock is taken before the engine table's (section 7.2).
+type Gate struct {
+	mu    sync.Mutex
+	clock Clock
+	lines map[string]*line
+	pass  float64
+}
+
+// New makes a gate without waiters.
+func New(clock Clock) *Gate { return &Gate{clock: clock, lines: map[string]*line{}} }
+
+// Full says whether a kind's queue takes no more, and when to come back.
+func (g *Gate) Full(key string, bound int) (bool, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lines[key]
+	return l != nil && bound > 0 && len(l.queue) >= bound, g.comeBack(l)
+}
+
+func (g *Gate) comeBack(l *line) time.Duration {
+	if l == nil {
+		return time.Second
+	}
+	wait := time.Duration(len(l.queue)) * l.pace
+	return min(max(wait, time.Second), 30*time.Second)
+}
+
+// Enter queues a waiter, or lets it in at once. A bound of 0 lets nobody wait.
+// False means that the queue is full: come back after the time given.
+func (g *Gate) Enter(key string, share, bound int, try func() bool) (*Waiter, bool, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lines[key]
+	if l == nil {
+		l = &line{key: key, pace: 50 * time.Millisecond}
+		g.lines[key] = l
+	}
+	l.share = max(share, 1)
+	if len(l.queue) == 0 {
+		// A kind that was idle does not save its turns up.
+		l.pass = max(l.pass, g.pass)
+	}
+	w := &Waiter{grant: make(chan struct{}), line: l, try: try}
+	l.queue = append(l.queue, w)
+	g.pump()
+	if !w.granted && len(l.queue) > bound {
+		g.remove(w)
+		return nil, false, g.comeBack(l)
+	}
+	return w, true, 0
+}
+
+// Leave takes a waiter out; true means that it had been let in, and its
+// reservation is the caller's to give back.
+func (g *Gate) Leave(w *Waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.granted {
+		return true
+	}
+	g.remove(w)
+	return false
+}
+
+func (g *Gate) remove(w *Waiter) {
+	for i, o := range w.line.queue {
+		if o == w {
+			w.line.queue = append(w.line.queue[:i], w.line.queue[i+1:]...)
+			break
+		}
+	}
+	if len(w.line.queue) == 0 && w.line.pass <= g.pass {
+		delete(g.lines, w.line.key)
+	}
+}
+
+// Pump lets in whoever can be; it is called when capacity may have come free.
+func (g *Gate) Pump() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pump()
+}
+
+// pump gives turns by stride: the line with the lowest pass goes first, and pays 1/share.
+func (g *Gate) pump() {
+	blocked := map[*line]bool{}
+	for {
+		var next *line
+		for _, l := range g.lines {
+			if len(l.queue) == 0 || blocked[l] {
+				continue
+			}
+			if next == nil || l.pass < next.pass || l.pass == next.pass && l.key < next.key {
+				next = l
+			}
+		}
+		if next == nil {
+			return
+		}
+		w := next.queue[0]
+		if !w.try() {
+			blocked[next] = true
+			continue
+		}
+		next.queue = next.queue[1:]
+		g.pass = max(g.pass, next.pass)
+		next.pass += 1 / float64(next.share)
+		now := g.clock.Now()
+		if next.granted > 0 {
+			next.pace += (now - next.granted - next.pace) / 8
+		}
+		next.granted = now
+		w.granted = true
+		close(w.grant)
+	}
+}
+
+// Waiting counts each line, for the status page.
+func (g *Gate) Waiting() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]int{}
+	for key, l := range g.lines {
+		out[key] = len(l.queue)
+	}
+	return out
+}
--- /dev/null
+++ b/inforce/keeper.go
@@ -0,0 +1,219 @@
+// Package inforce keeps a node's permit: the short time for which a majority of
+// disks confirmed that what this node holds of the control state is the newest
+// (design.md section 4.2). No new go starts without one.
+package inforce
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"linedrum.example/linedrum/quorum"
+	"linedrum.example/linedrum/register"
+)
+
+// Clock is boot time.
+type Clock interface{ Now() time.Duration }
+
+// Net carries messages to disks.
+type Net interface {
+	Send(to string, m register.Message)
+}
+
+// Ports is what a keeper needs of its node.
+type Ports interface {
+	Set() quorum.Set
+	NewSet(quorum.Set)
+	// Settle asks the key's holder to finish a write that the disks disagree on.
+	Settle(key string)
+	// Adopt takes a cell that a majority holds.
+	Adopt(key string, cell register.Cell)
+}
+
+// Timing as ratios to the bound of section 1.3: a permit and the renewal under
+// way when it ran out together stay below the bound.
+type Timing struct{ Renew, Permit time.Duration }
+
+// TimingFor derives the intervals from the in-force bound.
+func TimingFor(bound time.Duration) Timing {
+	return Timing{Renew: bound / 8, Permit: bound * 5 / 8}
+}
+
+// Keeper is not safe for concurrent use.
+type Keeper struct {
+	self   string
+	clock  Clock
+	net    Net
+	ports  Ports
+	timing Timing
+
+	keys    []string
+	cells   map[string]register.Cell
+	until   time.Duration
+	ask     uint64
+	sent    time.Duration
+	open    bool
+	replies map[string]map[string]register.KeyCell // disk, key
+	// Rounds counts permits asked for and granted.
+	Asked, Granted uint64
+}
+
+// New makes a keeper of the given keys, without a permit. Its ask numbers must
+// not meet those of the node's other askers, hence the first one.
+func New(self string, clock Clock, net Net, ports Ports, timing Timing, firstAsk uint64) *Keeper {
+	return &Keeper{
+		self: self, clock: clock, net: net, ports: ports, timing: timing,
+		ask: firstAsk, cells: map[string]register.Cell{}, sent: -timing.Renew,
+	}
+}
+
+// Want sets the keys that a permit covers. A permit given for fewer keys is void.
+func (k *Keeper) Want(keys []string) {
+	sorted := append([]string(nil), keys...)
+	sort.Strings(sorted)
+	if slices.Equal(sorted, k.keys) {
+		return
+	}
+	for _, key := range sorted {
+		if !contains(k.keys, key) {
+			k.until = 0
+			k.open = false
+			k.sent = k.clock.Now() - k.timing.Renew
+		}
+	}
+	k.keys = sorted
+}
+
+func contains(keys []string, key string) bool {
+	at := sort.SearchStrings(keys, key)
+	return at < len(keys) && keys[at] == key
+}
+
+// Held tells whether a new go may start now.
+func (k *Keeper) Held() bool { return k.clock.Now() < k.until }
+
+// Until is when the permit runs out.
+func (k *Keeper) Until() time.Duration { return k.until }
+
+// Cell is what this node holds of a key.
+func (k *Keeper) Cell(key string) register.Cell { return k.cells[key] }
+
+// Hurry renews at the next tick: something is known to have changed.
+func (k *Keeper) Hurry() { k.sent = k.clock.Now() - k.timing.Renew }
+
+// Tick renews the permit when it is time.
+func (k *Keeper) Tick() {
+	now := k.clock.Now()
+	set := k.ports.Set()
+	if now < k.sent+k.timing.Renew || !set.Formed() || len(k.keys) == 0 {
+		return
+	}
+	if k.open {
+		k.settle(set)
+	}
+	k.ask++
+	k.sent, k.open = now, true
+	k.Asked++
+	k.replies = map[string]map[string]register.KeyCell{}
+	m := register.Message{Kind: register.KindQuery, Ask: k.ask, From: k.self, Set: quorum.Set{Serial: set.Serial}}
+	for _, key := range k.keys {
+		cell := k.cells[key]
+		m.Cells = append(m.Cells, register.KeyCell{Key: key, Cell: register.Cell{Epoch: cell.Epoch, Serial: cell.Serial}})
+	}
+	for _, d := range set.All() {
+		k.net.Send(d.Addr, m)
+	}
+}
+
+// settle is called for a round that did not end: keys on which the disks that
+// replied differ are finished by their holder.
+func (k *Keeper) settle(set quorum.Set) {
+	if !set.Majority(func(d string) bool { return k.replies[d] != nil }) {
+		return
+	}
+	for _, key := range k.keys {
+		if _, ok := k.chosen(set, key); !ok {
+			k.ports.Settle(key)
+		}
+	}
+}
+
+// Receive takes a disk's reply; false when the ask is not this keeper's.
+func (k *Keeper) Receive(in register.Message) bool {
+	if in.Ask != k.ask {
+		return false
+	}
+	if !k.open {
+		return true
+	}
+	set := k.ports.Set()
+	if !in.Yes {
+		if in.Reason == register.ReasonSetOld && in.Set.Serial > set.Serial {
+			k.ports.NewSet(in.Set)
+			k.open = false
+			k.Hurry()
+		}
+		return true
+	}
+	if in.Kind != register.KindQueried || !set.Has(in.Disk) {
+		return true
+	}
+	had := map[string]register.KeyCell{}
+	for _, kc := range in.Cells {
+		had[kc.Key] = kc
+	}
+	k.replies[in.Disk] = had
+	k.decide(set)
+	return true
+}
+
+// chosen finds the cell of a key that a majority of the disks holds alike. Any
+// later write that was answered with yes would show on one of them.
+func (k *Keeper) chosen(set quorum.Set, key string) (register.KeyCell, bool) {
+	for _, d := range set.All() {
+		mine, ok := k.replies[d.Identity][key]
+		if !ok {
+			continue
+		}
+		if set.Majority(func(o string) bool {
+			theirs, ok := k.replies[o][key]
+			return ok && theirs.Cell.Same(mine.Cell)
+		}) {
+			return mine, true
+		}
+	}
+	return register.KeyCell{}, false
+}
+
+func (k *Keeper) decide(set quorum.Set) {
+	found := map[string]register.KeyCell{}
+	for _, key := range k.keys {
+		kc, ok := k.chosen(set, key)
+		if !ok {
+			return
+		}
+		if kc.Cell.Serial < k.cells[key].Serial {
+			return // never back to an older one (section 4.2)
+		}
+		found[key] = kc
+	}
+	k.open = false
+	before := k.keys
+	for _, key := range before {
+		kc := found[key]
+		if kc.Cell.Same(k.cells[key]) {
+			continue
+		}
+		cell := kc.Cell
+		if kc.Bare {
+			cell.Value = k.cells[key].Value
+		}
+		k.cells[key] = cell
+		k.ports.Adopt(key, cell)
+	}
+	// Adopting a desk may have added keys: then this round does not cover them.
+	if len(before) == len(k.keys) && (len(before) == 0 || &before[0] == &k.keys[0]) {
+		k.until = max(k.until, k.sent+k.timing.Permit)
+		k.Granted++
+	}
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,330 @@
+// Package link carries the cohort's messages: datagrams for membership, and one
+// connection each way between two nodes for all else (design.md section 2.2).
+// It may lose a message; whoever sent it tries again.
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"linedrum.example/linedrum/calot"
+	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/wire"
+)
+
+// Handler takes what arrives. Its methods must not block for long.
+type Handler interface {
+	Datagram(m calot.Message)
+	Frame(m register.Message, c wire.Cohort)
+	BadFrame(from string, err error)
+}
+
+// Counts of what was dropped.
+type Counts struct {
+	BadDatagrams, ForeignDatagrams, BadFrames, Dropped, Sent, Bytes atomic.Uint64
+}
+
+// Link is one node's end of all its connections.
+type Link struct {
+	fleet   string
+	self    string
+	udp     *net.UDPConn
+	tcp     net.Listener
+	crew    *crew.Crew
+	handler Handler
+	timeout time.Duration
+
+	mu    sync.Mutex // innermost: guards the tables below and nothing else
+	lines map[string]chan []byte
+	conns map[net.Conn]bool
+	loops chan looped
+
+	Counts Counts
+}
+
+const lineDepth = 1024
+
+// Open listens on one address for datagrams and connections.
+func Open(fleet, addr string, timeout time.Duration, c *crew.Crew) (*Link, error) {
+	tcp, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Annotate(err, "listen")
+	}
+	at := tcp.Addr().(*net.TCPAddr)
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port})
+	if err != nil {
+		_ = tcp.Close()
+		return nil, errors.Annotate(err, "listen for datagrams")
+	}
+	return &Link{
+		fleet: fleet, self: at.String(), udp: udp, tcp: tcp, crew: c, timeout: timeout,
+		lines: map[string]chan []byte{}, conns: map[net.Conn]bool{},
+		loops: make(chan looped, lineDepth),
+	}, nil
+}
+
+// Self is the address in use.
+func (l *Link) Self() string { return l.self }
+
+// Serve starts the duties that hand messages to the handler.
+func (l *Link) Serve(handler Handler) {
+	l.handler = handler
+	l.crew.Start(l.readDatagrams)
+	l.crew.Start(l.accept)
+	l.crew.Start(l.readLoop)
+	l.crew.Start(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = l.udp.Close()
+		_ = l.tcp.Close()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for conn := range l.conns {
+			_ = conn.Close()
+		}
+	})
+}
+
+func (l *Link) readDatagrams(ctx context.Context) {
+	buf := make([]byte, wire.MaxDatagram+1)
+	for {
+		n, _, err := l.udp.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		m, err := wire.UnpackDatagram(l.fleet, buf[:n])
+		switch {
+		case errors.Is(err, wire.ErrForm):
+			l.Counts.ForeignDatagrams.Add(1)
+		case err != nil:
+			l.Counts.BadDatagrams.Add(1)
+		default:
+			l.handler.Datagram(m)
+		}
+	}
+}
+
+// Datagram sends one membership message.
+func (l *Link) Datagram(to string, m calot.Message) {
+	b, err := wire.PackDatagram(l.fleet, m)
+	if err != nil {
+		l.Counts.Dropped.Add(1)
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		l.Counts.Dropped.Add(1)
+		return
+	}
+	if _, err := l.udp.WriteToUDP(b, addr); err != nil {
+		l.Counts.Dropped.Add(1)
+	}
+}
+
+func (l *Link) accept(ctx context.Context) {
+	for {
+		conn, err := l.tcp.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			pause(ctx, l.timeout/8)
+			continue
+		}
+		l.hold(conn)
+		l.crew.Start(func(ctx context.Context) { l.readFrames(ctx, conn) })
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (l *Link) hold(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[conn] = true
+}
+
+func (l *Link) drop(conn net.Conn) {
+	_ = conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+func (l *Link) readFrames(ctx context.Context, conn net.Conn) {
+	defer l.drop(conn)
+	in := wire.NewReader(l.fleet, bufio.NewReaderSize(conn, 64<<10))
+	for {
+		m, c, err := in.Next()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			var netErr net.Error
+			if !errors.As(err, &netErr) && !isEnd(err) {
+				l.Counts.BadFrames.Add(1)
+				l.handler.BadFrame(conn.RemoteAddr().String(), err)
+			}
+			return
+		}
+		l.handler.Frame(m, c)
+	}
+}
+
+// isEnd tells a connection that ended from one that carried nonsense.
+func isEnd(err error) bool {
+	text := err.Error()
+	return strings.Contains(text, "EOF") || strings.Contains(text, "closed") || strings.Contains(text, "reset")
+}
+
+// Frame queues one message for a node; it is dropped when too much waits already.
+func (l *Link) Frame(to string, m register.Message, c wire.Cohort) {
+	if to == l.self {
+		// A node that is its own disk talks to itself by the same path, less the wire.
+		l.loop(m, c)
+		return
+	}
+	b, err := wire.PackFrame(l.fleet, m, c)
+	if err != nil {
+		l.Counts.Dropped.Add(1)
+		return
+	}
+	l.mu.Lock()
+	line := l.lines[to]
+	if line == nil {
+		line = make(chan []byte, lineDepth)
+		l.lines[to] = line
+		l.crew.Start(func(ctx context.Context) { l.write(ctx, to, line) })
+	}
+	l.mu.Unlock()
+	select {
+	case line <- b:
+	default:
+		l.Counts.Dropped.Add(1)
+	}
+}
+
+type looped struct {
+	m register.Message
+	c wire.Cohort
+}
+
+// loop hands a node's messages to itself.
+func (l *Link) loop(m register.Message, c wire.Cohort) {
+	select {
+	case l.loops <- looped{m, c}:
+	default:
+		l.Counts.Dropped.Add(1)
+	}
+}
+
+func (l *Link) readLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-l.loops:
+			l.handler.Frame(in.m, in.c)
+		}
+	}
+}
+
+// write owns the connection to one node: it dials when there is something to
+// say, and throws away what it could not say in time.
+func (l *Link) write(ctx context.Context, to string, line chan []byte) {
+	var conn net.Conn
+	idle := time.NewTimer(16 * l.timeout)
+	defer idle.Stop()
+	for {
+		var b []byte
+		idle.Reset(16 * l.timeout)
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+			if l.retire(to, line) {
+				if conn != nil {
+					l.drop(conn)
+				}
+				return
+			}
+			continue
+		case b = <-line:
+		}
+		// A connection that the other side closed meanwhile is made anew, once.
+		for range 2 {
+			if conn == nil {
+				if conn = l.dial(ctx, to); conn == nil {
+					l.Counts.Dropped.Add(uint64(1 + drain(line)))
+					pause(ctx, l.timeout/8)
+					break
+				}
+			}
+			_ = conn.SetWriteDeadline(time.Now().Add(l.timeout))
+			if _, err := conn.Write(b); err == nil {
+				l.Counts.Sent.Add(1)
+				l.Counts.Bytes.Add(uint64(len(b)))
+				break
+			}
+			l.Counts.Dropped.Add(1)
+			l.drop(conn)
+			conn = nil
+		}
+	}
+}
+
+func (l *Link) dial(ctx context.Context, to string) net.Conn {
+	dialer := net.Dialer{Timeout: l.timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", to)
+	if err != nil {
+		return nil
+	}
+	l.hold(conn)
+	// The other side never speaks on this connection: a read ends when it closes.
+	l.crew.Start(func(context.Context) {
+		var one [1]byte
+		_, _ = conn.Read(one[:])
+		l.drop(conn)
+	})
+	return conn
+}
+
+func drain(line chan []byte) int {
+	n := 0
+	for {
+		select {
+		case <-line:
+			n++
+		default:
+			return n
+		}
+	}
+}
+
+// retire forgets an idle line unless something was queued just now.
+func (l *Link) retire(to string, line chan []byte) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(line) > 0 {
+		return false
+	}
+	delete(l.lines, to)
+	return true
+}
--- /dev/null
+++ b/node/claims.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"linedrum.example/linedrum/ledger"
+	"linedrum.example/linedrum/once"
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/verdict"
+)
+
+// patience of one write to a once-only key.
+func (q *request) claimPatience() time.Duration { return q.n.settings.Bounds.InForce.D() / 2 }
+
+// takeClaim claims the key on a majority before any engine is touched (section
+// 5.7). A nil fault with a reply set means that an earlier request's reply was kept.
+func (q *request) takeClaim() *verdict.Error {
+	ctx, cancel := q.expiryContext()
+	defer cancel()
+	q.claim.State = once.Claimed
+	base := uint64(0)
+	for {
+		r := q.n.Do(ctx, register.Request{
+			Key: q.onceKey, Base: base, Op: q.claim.Claim, Value: q.claim.Encode(), Patience: q.claimPatience(),
+		})
+		if r.Outcome == register.Done {
+			q.ledger.Claim, q.base = ledger.ClaimMine, r.Cell.Serial
+			return nil
+		}
+		if r.Outcome != register.Conflict {
+			q.ledger.Claim = ledger.ClaimUnknown
+			q.abandon()
+			return q.unclear("claim-unknown", "the key could not be claimed on a majority of the disks; this call reached no engine, an earlier one with this key may have: repeat it with the same key")
+		}
+		held, err := once.Decode(r.Cell)
+		if err != nil {
+			return q.unclear("claim-unreadable", "the key's record cannot be read")
+		}
+		if held.State == once.Released && r.Cell.Serial != base {
+			base = r.Cell.Serial
+			continue
+		}
+		return q.repeated(held)
+	}
+}
+
+// turnAway bounces a request before its key was claimed. Not-run is said of a
+// key only when a majority of the disks shows that it is free (section 5.7).
+func (q *request) turnAway(fault *verdict.Error) {
+	if !q.ledger.Once {
+		q.failed(fault)
+		return
+	}
+	ctx, cancel := q.expiryContext()
+	defer cancel()
+	cell, ok := q.n.Look(ctx, q.onceKey, q.claimPatience())
+	held, err := once.Decode(cell)
+	switch {
+	case !ok || err != nil:
+		q.failed(q.unclear(fault.Code, fault.Reason+"; this call reached no engine, an earlier one with this key may have"))
+	case held.State == once.Released:
+		q.failed(fault)
+	default:
+		if fault := q.repeated(held); fault != nil {
+			q.failed(fault)
+			return
+		}
+		q.finish()
+	}
+}
+
+// unclear is the failure of a keyed request of which this node cannot say that
+// its key never ran.
+func (q *request) unclear(code, reason string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusServiceUnavailable, Code: code, Reason: reason, RetryAfter: time.Second}
+}
+
+// repeated answers a request whose key another one holds.
+func (q *request) repeated(held once.Claim) *verdict.Error {
+	q.ledger.Claim = ledger.ClaimTaken
+	if held.Body != q.claim.Body {
+		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusUnprocessableEntity, Code: "key-reused", Field: headerOnce,
+			Reason: "this key belongs to a request with another body"}
+	}
+	switch {
+	case held.State == once.Done && len(held.Reply) > 0:
+		q.reply = held.Reply
+		q.w.Header().Set("X-Linedrum-Repeat", held.Request)
+		return nil
+	case held.State == once.Done:
+		return &verdict.Error{Verdict: verdict.Ran, Status: http.StatusConflict, Code: "ran-before",
+			Reason: "the request ran as " + held.Request + "; its reply was too long to keep"}
+	case held.State == once.Claimed:
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusConflict, Code: "in-progress", RetryAfter: time.Second,
+			Reason: "the request was taken as " + held.Request + " and has not ended"}
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusConflict, Code: "ran-before",
+		Reason: "the request may have run as " + held.Request + " and is not run again"}
+}
+
+// settleClaim leaves the key as the request's end demands: free again when it
+// proved not to have run, closed for good when it may have.
+func (q *request) settleClaim(v verdict.Verdict) {
+	if !q.ledger.Once || q.ledger.Claim != ledger.ClaimMine {
+		return
+	}
+	if v == verdict.NotRun {
+		q.record(once.Released)
+		return
+	}
+	q.record(once.Unclear)
+}
+
+// record writes the end of a claim of ours. If that fails the key stays claimed:
+// a repeat hears may-have-run, and nobody runs it again.
+func (q *request) record(state string) {
+	if !q.ledger.Once || q.ledger.Claim != ledger.ClaimMine {
+		return
+	}
+	q.claim.State = state
+	if state == once.Done && len(q.reply) <= q.n.settings.Limits.Recall {
+		q.claim.Reply = q.reply
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(q.ctx), q.claimPatience())
+	defer cancel()
+	q.n.Do(ctx, register.Request{
+		Key: q.onceKey, Base: q.base, Op: q.n.opID(), Value: q.claim.Encode(), Patience: q.claimPatience(),
+	})
+}
+
+// abandon frees a key whose claim had an unknown outcome, in the background and
+// only if the claim that stands is ours: nothing was sent under it.
+func (q *request) abandon() {
+	claim, key, patience, n := q.claim, q.onceKey, q.claimPatience(), q.n
+	n.crew.Start(func(ctx context.Context) {
+		for range 8 {
+			r := n.Do(ctx, register.Request{Key: key, Read: true, Patience: patience})
+			if r.Outcome != register.Done {
+				continue
+			}
+			held, err := once.Decode(r.Cell)
+			if err != nil || held.State != once.Claimed || held.Claim != claim.Claim {
+				return
+			}
+			held.State = once.Released
+			if n.Do(ctx, register.Request{Key: key, Base: r.Cell.Serial, Op: n.opID(), Value: held.Encode(), Patience: patience}).Outcome == register.Done {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/node/disk.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/wal"
+	"linedrum.example/linedrum/wire"
+)
+
+const (
+	identityFile = "identity"
+	diskLimit    = 8 << 20 // bytes waiting before a disk says that it is busy
+	cutAfter     = 8 << 20 // bytes of log before the next picture
+)
+
+// diskLog is the acceptor's log port over the real log.
+type diskLog struct{ n *Node }
+
+func (d diskLog) Busy() bool { return d.n.disk.Busy() }
+
+func (d diskLog) Append(rec register.Message, then func(error)) {
+	b, err := wire.PackFrame(d.n.settings.Fleet, rec, wire.Cohort{})
+	if err != nil {
+		then(err)
+		return
+	}
+	d.n.disk.Append(b, d.locked(then))
+}
+
+func (d diskLog) Barrier(then func(error)) { d.n.disk.Barrier(d.locked(then)) }
+
+// locked brings a continuation from the log's writer back under the core lock.
+func (d diskLog) locked(then func(error)) func(error) {
+	return func(err error) {
+		d.n.mu.Lock()
+		defer d.n.mu.Unlock()
+		trusted := d.n.acceptor.Trusted()
+		then(err)
+		if trusted && err != nil && !errors.Is(err, wal.ErrStopped) {
+			d.n.log.Say(event.DiskFailed, event.Fields{"reason": err.Error()})
+		}
+	}
+}
+
+// openDisk opens the data folder and replays it. A folder that is damaged, or
+// that lost its identity, is a clear refusal to start (section 3.4).
+func (n *Node) openDisk() (string, error) {
+	folder, err := wal.OpenFolder(n.settings.Data)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	n.folder = folder
+	identity, err := diskIdentity(folder)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	n.acceptor = register.NewAcceptor(identity, n.settings.Listen, diskLog{n}, n.clock, n.settings.Bounds.OnceKeep.D())
+	disk, report, err := wal.Open(folder, diskLimit, func(record []byte) error {
+		rec, _, err := wire.UnpackFrame(n.settings.Fleet, record)
+		if err != nil {
+			return errors.Annotate(err, "a record of the log cannot be read")
+		}
+		n.acceptor.Replay(rec)
+		return nil
+	})
+	if err != nil {
+		n.log.Say(event.DiskDamaged, event.Fields{"data": n.settings.Data, "reason": err.Error()})
+		return "", errors.Trace(err)
+	}
+	n.disk = disk
+	if report.Torn > 0 {
+		n.log.Say(event.DiskTorn, event.Fields{"file": report.TornFile, "bytes": report.Torn})
+	}
+	n.log.Say(event.DiskOpened, event.Fields{"disk": identity, "records": report.Records, "set": n.acceptor.Set().Serial})
+	n.crew.Start(func(ctx context.Context) { disk.Run(ctx) })
+	return identity, nil
+}
+
+func diskIdentity(folder *wal.Folder) (string, error) {
+	b, err := folder.Read(identityFile)
+	if err == nil {
+		return strings.TrimSpace(string(b)), nil
+	}
+	names, err := folder.List()
+	if err != nil {
+		return "", err
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, ".seg") || strings.HasSuffix(name, ".pic") {
+			return "", errors.Annotate(wal.ErrDamaged, "the folder has a log but no identity")
+		}
+	}
+	var id [8]byte
+	if _, err := crand.Read(id[:]); err != nil {
+		return "", err
+	}
+	identity := hex.EncodeToString(id[:])
+	return identity, wal.Put(folder, identityFile, []byte(identity+"\n"))
+}
+
+// tickDisk keeps the log short and forgets once-only keys whose time is over.
+func (n *Node) tickDisk() {
+	if n.acceptor == nil {
+		return
+	}
+	if n.acceptor.Trusted() && n.disk.Since() > cutAfter {
+		var picture [][]byte
+		for _, rec := range n.acceptor.Picture() {
+			if b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{}); err == nil {
+				picture = append(picture, b)
+			}
+		}
+		n.disk.Cut(picture)
+	}
+	now := n.clock.Now()
+	if now >= n.mend.pruneDue {
+		n.mend.pruneDue = now + n.settings.Bounds.OnceKeep.D()/16
+		if pruned := n.acceptor.Prune(); pruned > 0 {
+			n.log.Say(event.DiskPruned, event.Fields{"keys": pruned})
+		}
+	}
+	n.tickMend(now)
+}
--- /dev/null
+++ b/node/engines.go
@@ -0,0 +1,287 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/pairing"
+	"linedrum.example/linedrum/roles"
+)
+
+// engines is the table of engines as this node sees them.
+type engines struct {
+	site     string
+	stale    time.Duration // a report older than this does not count
+	rest     time.Duration // an engine rests this long after a failed go
+	ramp     time.Duration // slow start
+	mu       sync.Mutex    // taken after the gate's and the core lock
+	servers  map[string]*server
+	picture  Picture
+	slow     map[[2]string]float64
+	nodes    int
+	rank     int
+	ordering map[string]bool
+}
+
+type server struct {
+	listed   engine.Listed
+	load     engine.Load
+	at       time.Duration // of the report
+	polling  bool
+	silent   bool
+	inflight int
+	since    int
+	resting  time.Duration
+	ordered  engine.Fence
+}
+
+func newEngines(site string, recovery time.Duration) *engines {
+	return &engines{
+		site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6,
+		servers: map[string]*server{}, slow: map[[2]string]float64{}, nodes: 1, ordering: map[string]bool{},
+	}
+}
+
+// take puts a new picture in force for nominations.
+func (t *engines) take(p Picture) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.picture = p
+	listed := map[string]bool{}
+	for _, e := range p.Engines.Engines {
+		listed[e.Name] = true
+		s := t.servers[e.Name]
+		if s == nil || s.listed.Addr != e.Addr {
+			s = &server{}
+			t.servers[e.Name] = s
+		}
+		s.listed = e
+	}
+	for name := range t.servers {
+		if !listed[name] {
+			delete(t.servers, name)
+		}
+	}
+}
+
+func (t *engines) place(nodes, rank int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nodes, t.rank = nodes, rank
+}
+
+// list is the pairing's picture of the servers. Called under t.mu.
+func (t *engines) list(now time.Duration) []pairing.Server {
+	out := make([]pairing.Server, 0, len(t.servers))
+	for _, e := range t.picture.Engines.Engines {
+		s := t.servers[e.Name]
+		if s == nil {
+			continue
+		}
+		role := t.picture.Roles[e.Pool].Table.Roles[e.Name]
+		if s.load.Role != role {
+			role = "" // it has not obeyed yet, or started anew
+		}
+		out = append(out, pairing.Server{
+			Listed: e, Role: role, Load: s.load, Seen: s.at > 0 && now-s.at < t.stale,
+			Age: time.Duration(s.load.AgeMS)*time.Millisecond + now - s.at, Inflight: s.inflight, Since: s.since,
+			Resting: now < s.resting,
+		})
+	}
+	return out
+}
+
+func (t *engines) view(pool, prefix string) pairing.View {
+	v := pairing.View{
+		Pool: pool, Site: t.site, Empty: t.picture.Sites.Empty, Prefix: prefix, Ramp: t.ramp,
+		Nodes: t.nodes, Rank: t.rank,
+		Slow: func(reader, writer string) float64 { return t.slow[[2]string{reader, writer}] },
+	}
+	if t.picture.Desk != nil {
+		if p, ok := t.picture.Desk.Pool(pool); ok {
+			v.SiteCost = p.SiteCost
+		}
+	}
+	return v
+}
+
+// reserve nominates a pair and counts it as in flight.
+func (t *engines) reserve(pool, prefix string, now time.Duration) (pairing.Pair, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pair, ok := t.view(pool, prefix).Nominate(t.list(now))
+	if ok {
+		t.begin(pair.Reader.Name)
+		t.begin(pair.Writer.Name)
+	}
+	return pair, ok
+}
+
+// reserveWriter nominates another writer for memory that lies at a reader.
+func (t *engines) reserveWriter(pool string, reader pairing.Server, now time.Duration) (pairing.Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.view(pool, "").Writer(t.list(now), reader)
+	if ok {
+		t.begin(s.Name)
+	}
+	return s, ok
+}
+
+func (t *engines) begin(name string) {
+	if s := t.servers[name]; s != nil {
+		s.inflight++
+		s.since++
+	}
+}
+
+// end gives a reservation back.
+func (t *engines) end(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		s.inflight = max(s.inflight-1, 0)
+		s.since = max(s.since-1, 0)
+	}
+}
+
+// usable tells whether a go may still go to an engine, by what is in force now.
+func (t *engines) usable(pool, name, role string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	return s != nil && s.listed.Pool == pool && !s.listed.Leaving() && !t.picture.Sites.Empty[s.listed.Site] &&
+		t.picture.Roles[pool].Table.Roles[name] == role
+}
+
+// slowLink remembers how long a hand-over between two engines took, against its usual.
+func (t *engines) slowLink(reader, writer string, cost float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := [2]string{reader, writer}
+	t.slow[key] += (cost - t.slow[key]) / 4
+}
+
+// states is the role planner's picture.
+func (t *engines) states(pool string, now time.Duration) []roles.State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []roles.State
+	for _, e := range t.picture.Engines.Engines {
+		s := t.servers[e.Name]
+		if s == nil || e.Pool != pool {
+			continue
+		}
+		out = append(out, roles.State{
+			Name: e.Name, Site: e.Site,
+			Usable: !e.Leaving() && !t.picture.Sites.Empty[e.Site] && s.at > 0 && now-s.at < 2*t.stale,
+			Use:    float64(s.load.Running+s.load.Waiting) / float64(max(s.load.Slots, 1)),
+		})
+	}
+	return out
+}
+
+// order sends roles to the engines that do not report them under this fence.
+func (t *engines) order(n *Node, pool string, table map[string]string, fence engine.Fence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, role := range table {
+		s := t.servers[name]
+		if s == nil || t.ordering[name] || s.at == 0 || s.load.Role == role && !s.load.Fence.Less(fence) {
+			continue
+		}
+		if s.load.Role == role && s.ordered == fence {
+			continue
+		}
+		t.ordering[name] = true
+		listed := s.listed
+		n.crew.Start(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.InForce.D()/2)
+			defer cancel()
+			err := n.client.Order(ctx, listed.Addr, engine.Order{Pool: pool, Role: role, Fence: fence})
+			t.mu.Lock()
+			delete(t.ordering, name)
+			if err == nil {
+				s.ordered = fence
+			}
+			t.mu.Unlock()
+			fields := event.Fields{"engine": name, "role": role, "epoch": fence.Count, "serial": fence.Serial}
+			if err != nil {
+				fields["reason"] = err.Error()
+				n.log.Say(event.RoleRefused, fields)
+				return
+			}
+			n.log.Say(event.RoleOrdered, fields)
+		})
+	}
+}
+
+// pollEngines asks every listed engine for its load.
+func (n *Node) pollEngines(ctx context.Context) {
+	pool := n.crew.Pool(16, 1024)
+	every(ctx, n.settings.Bounds.Recovery.D()/24, func() {
+		nodes, rank := n.fleetView()
+		n.engines.place(nodes, rank)
+		for _, target := range n.engines.toPoll() {
+			if !pool.Submit(func(ctx context.Context) { n.poll(ctx, target) }) {
+				n.engines.polled(target.Name, engine.Load{}, false, 0)
+			}
+		}
+		n.gate.Pump()
+	})
+}
+
+func (t *engines) toPoll() []engine.Listed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []engine.Listed
+	for _, s := range t.servers {
+		if !s.polling {
+			s.polling = true
+			out = append(out, s.listed)
+		}
+	}
+	return out
+}
+
+func (t *engines) polled(name string, load engine.Load, ok bool, now time.Duration) (turned bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil {
+		return false
+	}
+	s.polling = false
+	if ok {
+		s.load, s.at, s.since = load, now, 0
+	}
+	turned = s.silent == ok
+	s.silent = !ok
+	return turned
+}
+
+func (n *Node) poll(ctx context.Context, target engine.Listed) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.Recovery.D()/12)
+	defer cancel()
+	load, err := n.client.Load(ctx, target.Addr)
+	if n.engines.polled(target.Name, load, err == nil, n.clock.Now()) {
+		if err != nil {
+			n.log.Say(event.EngineSilent, event.Fields{"engine": target.Name, "reason": err.Error()})
+		} else {
+			n.log.Say(event.EngineBack, event.Fields{"engine": target.Name, "role": load.Role})
+		}
+	}
+	n.gate.Pump()
+}
+
+// restFor keeps new work off an engine for a moment.
+func (t *engines) restFor(name string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		s.resting = now + t.rest
+	}
+}
--- /dev/null
+++ b/once/once.go
@@ -0,0 +1,76 @@
+// Package once is the value of a once-only key's register: who may run it, and
+// what became of it (design.md section 5.7).
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/verdict"
+)
+
+// States of a claim.
+const (
+	Claimed  = "claimed"  // somebody runs it, or did and never said more
+	Released = "released" // proved not to have run: free again
+	Done     = "done"     // ran; Reply is kept if it was short enough
+	Unclear  = "unclear"  // may have run; nobody will run it again
+)
+
+// Claim is the value.
+type Claim struct {
+	State   string          `json:"state"`
+	Claim   string          `json:"claim"` // id of the one request that holds it
+	Request string          `json:"request"`
+	Body    string          `json:"body"` // digest of desk, kind and body
+	Reply   json.RawMessage `json:"reply,omitempty"`
+}
+
+// Key names the register of a caller's key. Desks do not share keys.
+func Key(desk, key string) string {
+	return register.PassingPrefix + digest(desk, key)
+}
+
+// Digest of what must be equal when a key is used again.
+func Digest(kind string, body []byte) string { return digest(kind, string(body)) }
+
+func digest(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// Encode writes the value.
+func (c Claim) Encode() []byte {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // texts and one valid JSON value always encode
+	}
+	return b
+}
+
+// Decode reads a cell; nothing was ever claimed when its serial is 0.
+func Decode(cell register.Cell) (Claim, error) {
+	var c Claim
+	if cell.Serial == 0 {
+		return Claim{State: Released}, nil
+	}
+	err := json.Unmarshal(cell.Value, &c)
+	return c, err
+}
+
+// Verdict is what a repeat of the same key is told.
+func (c Claim) Verdict() verdict.Verdict {
+	switch c.State {
+	case Released:
+		return verdict.NotRun
+	case Done:
+		return verdict.Ran
+	}
+	return verdict.MayHaveRun
+}
--- /dev/null
+++ b/register/acceptor.go
@@ -0,0 +1,341 @@
+package register
+
+import (
+	"hash/fnv"
+	"sort"
+	"strings"
+	"time"
+
+	"linedrum.example/linedrum/quorum"
+)
+
+// Log is the disk below an acceptor. Both calls come back through then, in
+// order, once everything appended so far is synced, or with the error that
+// makes this disk untrusted until its process starts anew.
+type Log interface {
+	Busy() bool
+	Append(record Message, then func(error))
+	Barrier(then func(error))
+}
+
+// Clock is boot time.
+type Clock interface{ Now() time.Duration }
+
+type slot struct {
+	promised Epoch
+	cell     Cell
+	touched  time.Duration
+}
+
+// Acceptor is one disk's part of every register. It is not safe for concurrent
+// use: its owner holds one lock around every call (section 7.2).
+type Acceptor struct {
+	identity string
+	addr     string
+	log      Log
+	clock    Clock
+	keep     time.Duration // how long a passing key is kept after its last write
+	set      quorum.Set
+	pledge   quorum.Set
+	slots    map[string]*slot
+	floor    uint64
+	failed   bool
+}
+
+// PassingPrefix marks keys that are forgotten some time after their last write.
+const PassingPrefix = "once/"
+
+// NewAcceptor makes the state of an empty disk; Replay brings back what it held.
+func NewAcceptor(identity, addr string, log Log, clock Clock, keep time.Duration) *Acceptor {
+	return &Acceptor{identity: identity, addr: addr, log: log, clock: clock, keep: keep, slots: map[string]*slot{}}
+}
+
+// Identity is the disk's own.
+func (a *Acceptor) Identity() string { return a.identity }
+
+// Set is the disk set that this disk knows.
+func (a *Acceptor) Set() quorum.Set { return a.set }
+
+// Trusted is false after a failed sync, until the process starts anew.
+func (a *Acceptor) Trusted() bool { return !a.failed }
+
+// Replay applies one record from the log, at start.
+func (a *Acceptor) Replay(rec Message) {
+	switch rec.Kind {
+	case KindPrepare:
+		a.slot(rec.Key).promised = rec.Epoch
+	case KindAccept:
+		s := a.slot(rec.Key)
+		s.promised, s.cell = rec.Epoch, rec.Cell
+	case KindSet:
+		a.set = rec.Set
+	case KindPledge:
+		a.pledge = rec.Pledge
+	case KindPrune:
+		a.floor = max(a.floor, rec.Floor)
+		for _, kc := range rec.Cells {
+			delete(a.slots, kc.Key)
+		}
+	}
+}
+
+// Picture lists records that rebuild this state, for the log's pictures.
+func (a *Acceptor) Picture() []Message {
+	out := []Message{{Kind: KindPrune, Floor: a.floor}}
+	if a.pledge.Formed() {
+		out = append(out, Message{Kind: KindPledge, Pledge: a.pledge})
+	}
+	if a.set.Formed() {
+		out = append(out, Message{Kind: KindSet, Set: a.set})
+	}
+	for _, key := range a.keys() {
+		s := a.slots[key]
+		if s.cell.Serial > 0 {
+			out = append(out, Message{Kind: KindAccept, Key: key, Epoch: s.cell.Epoch, Cell: s.cell})
+		}
+		if s.cell.Epoch != s.promised {
+			out = append(out, Message{Kind: KindPrepare, Key: key, Epoch: s.promised})
+		}
+	}
+	return out
+}
+
+func (a *Acceptor) keys() []string {
+	out := make([]string, 0, len(a.slots))
+	for key := range a.slots {
+		out = append(out, key)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (a *Acceptor) slot(key string) *slot {
+	s := a.slots[key]
+	if s == nil {
+		s = &slot{}
+		a.slots[key] = s
+	}
+	s.touched = a.clock.Now()
+	return s
+}
+
+// Handle takes one message from a proposer or reader and answers through reply
+// once all that the reply rests on is synced.
+func (a *Acceptor) Handle(in Message, reply func(Message)) {
+	out := Message{Kind: KindReply, Ask: in.Ask, From: a.addr, Disk: a.identity, Key: in.Key}
+	no := func(why Reason) {
+		out.Reason = why
+		out.Set = a.set
+		reply(out)
+	}
+	switch {
+	case a.failed:
+		no(ReasonDisk)
+		return
+	case a.log.Busy():
+		no(ReasonBusy)
+		return
+	}
+	switch in.Kind {
+	case KindWho:
+		out.Kind, out.Set, out.Pledge, out.Yes = KindIAm, a.set, a.pledge, true
+		a.barrier(out, reply)
+		return
+	case KindPledge:
+		a.handlePledge(in, out, reply)
+		return
+	case KindSet:
+		a.handleSet(in, out, reply)
+		return
+	}
+	switch {
+	case !a.set.Formed() || in.Set.Serial > a.set.Serial:
+		no(ReasonSetNew)
+		return
+	case in.Set.Serial < a.set.Serial:
+		no(ReasonSetOld)
+		return
+	case !a.set.Has(a.identity):
+		no(ReasonForeign)
+		return
+	}
+	switch in.Kind {
+	case KindPrepare:
+		a.prepare(in, out, reply)
+	case KindAccept:
+		a.accept(in, out, reply)
+	case KindQuery:
+		out.Kind, out.Yes = KindQueried, true
+		for _, kc := range in.Cells {
+			found := KeyCell{Key: kc.Key}
+			if s := a.slots[kc.Key]; s != nil {
+				found.Promised, found.Cell = s.promised, s.cell
+				if kc.Cell.Serial > 0 && kc.Cell.Same(s.cell) {
+					found.Cell.Value, found.Bare = nil, true
+				}
+			}
+			out.Cells = append(out.Cells, found)
+		}
+		a.barrier(out, reply)
+	case KindDigest:
+		out.Kind, out.Yes, out.Digests = KindDigests, true, a.Digests()
+		a.barrier(out, reply)
+	case KindRange:
+		out.Kind, out.Yes, out.Range = KindCells, true, in.Range
+		for _, key := range a.keys() {
+			if rangeOf(key) == in.Range && a.slots[key].cell.Serial > 0 {
+				out.Cells = append(out.Cells, KeyCell{Key: key, Cell: a.slots[key].cell})
+			}
+		}
+		a.barrier(out, reply)
+	}
+}
+
+func (a *Acceptor) barrier(out Message, reply func(Message)) {
+	a.log.Barrier(a.then(out, reply))
+}
+
+// then builds the continuation that answers only what is synced (section 3.4).
+func (a *Acceptor) then(out Message, reply func(Message)) func(error) {
+	return func(err error) {
+		if err != nil {
+			a.failed = true
+			out = Message{Kind: KindReply, Ask: out.Ask, From: a.addr, Disk: a.identity, Key: out.Key, Reason: ReasonDisk}
+		}
+		reply(out)
+	}
+}
+
+func (a *Acceptor) prepare(in, out Message, reply func(Message)) {
+	var promised Epoch
+	if s := a.slots[in.Key]; s != nil {
+		promised = s.promised
+	} else if strings.HasPrefix(in.Key, PassingPrefix) {
+		promised.Count = a.floor
+	}
+	if !promised.Less(in.Epoch) || in.Epoch.Count <= promised.Count && promised.Holder == "" {
+		out.Reason, out.Epoch = ReasonPromised, promised
+		a.barrier(out, reply)
+		return
+	}
+	s := a.slot(in.Key)
+	s.promised = in.Epoch
+	out.Yes, out.Epoch, out.Cell = true, in.Epoch, s.cell
+	a.log.Append(Message{Kind: KindPrepare, Key: in.Key, Epoch: in.Epoch}, a.then(out, reply))
+}
+
+func (a *Acceptor) accept(in, out Message, reply func(Message)) {
+	s := a.slots[in.Key]
+	if s == nil && strings.HasPrefix(in.Key, PassingPrefix) && in.Epoch.Count <= a.floor {
+		out.Reason, out.Epoch = ReasonPromised, Epoch{Count: a.floor}
+		a.barrier(out, reply)
+		return
+	}
+	if s != nil && in.Epoch.Less(s.promised) {
+		out.Reason, out.Epoch = ReasonPromised, s.promised
+		a.barrier(out, reply)
+		return
+	}
+	out.Yes, out.Epoch = true, in.Epoch
+	if s != nil && !in.Cell.Newer(s.cell) {
+		// A late repeat of what is held already, or of an older write of the same epoch.
+		a.barrier(out, reply)
+		return
+	}
+	s = a.slot(in.Key)
+	s.promised, s.cell = in.Epoch, in.Cell
+	a.log.Append(Message{Kind: KindAccept, Key: in.Key, Epoch: in.Epoch, Cell: in.Cell}, a.then(out, reply))
+}
+
+// handlePledge is the one vote that an empty disk has in founding (section 3.5).
+func (a *Acceptor) handlePledge(in, out Message, reply func(Message)) {
+	if !a.set.Formed() && !a.pledge.Formed() && in.Pledge.Serial == 1 && in.Pledge.Has(a.identity) {
+		a.pledge = in.Pledge
+		out.Yes, out.Pledge = true, a.pledge
+		a.log.Append(Message{Kind: KindPledge, Pledge: a.pledge}, a.then(out, reply))
+		return
+	}
+	out.Yes, out.Pledge, out.Set = a.pledge.Equal(in.Pledge), a.pledge, a.set
+	a.barrier(out, reply)
+}
+
+// handleSet adopts a newer disk set; an older one never replaces it.
+func (a *Acceptor) handleSet(in, out Message, reply func(Message)) {
+	if in.Set.Serial > a.set.Serial && in.Set.Has(a.identity) || a.set.Formed() && in.Set.Serial > a.set.Serial {
+		a.set = in.Set
+		out.Yes, out.Set = true, a.set
+		a.log.Append(Message{Kind: KindSet, Set: a.set}, a.then(out, reply))
+		return
+	}
+	out.Yes, out.Set = a.set.Equal(in.Set), a.set
+	a.barrier(out, reply)
+}
+
+// Mend takes a newer accepted cell from another disk, as the accept message
+// that this disk missed (section 3.6).
+func (a *Acceptor) Mend(kc KeyCell) bool {
+	s := a.slots[kc.Key]
+	if a.failed || kc.Cell.Serial == 0 || s != nil && (kc.Cell.Epoch.Less(s.promised) || !kc.Cell.Newer(s.cell)) {
+		return false
+	}
+	if s == nil && strings.HasPrefix(kc.Key, PassingPrefix) && kc.Cell.Epoch.Count <= a.floor {
+		return false
+	}
+	a.accept(Message{Kind: KindAccept, Key: kc.Key, Epoch: kc.Cell.Epoch, Cell: kc.Cell}, Message{}, func(Message) {})
+	return true
+}
+
+// Prune forgets passing keys whose time is over. The floor rises with them, so
+// that a proposer of old can never write to a forgotten key (section 3.7).
+func (a *Acceptor) Prune() int {
+	if a.failed || a.keep <= 0 {
+		return 0
+	}
+	now := a.clock.Now()
+	rec := Message{Kind: KindPrune, Floor: a.floor}
+	for _, key := range a.keys() {
+		s := a.slots[key]
+		if strings.HasPrefix(key, PassingPrefix) && now-s.touched >= a.keep {
+			rec.Floor = max(rec.Floor, s.promised.Count)
+			rec.Cells = append(rec.Cells, KeyCell{Key: key})
+		}
+	}
+	if len(rec.Cells) == 0 {
+		return 0
+	}
+	a.Replay(rec)
+	a.log.Append(rec, a.then(Message{}, func(Message) {}))
+	return len(rec.Cells)
+}
+
+// Ranges is how many ranges the digests cut the keys into.
+const Ranges = 1024
+
+func rangeOf(key string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(key))
+	return h.Sum32() % Ranges
+}
+
+// Digests sums up the cells of each range; equal ranges have equal digests.
+func (a *Acceptor) Digests() []uint64 {
+	out := make([]uint64, Ranges)
+	for key, s := range a.slots {
+		if s.cell.Serial == 0 {
+			continue
+		}
+		h := fnv.New64a()
+		for _, part := range []string{key, s.cell.Epoch.Holder, s.cell.Op} {
+			_, _ = h.Write([]byte(part))
+			_, _ = h.Write([]byte{0})
+		}
+		var num [16]byte
+		for i := 0; i < 8; i++ {
+			num[i] = byte(s.cell.Epoch.Count >> (8 * i))
+			num[8+i] = byte(s.cell.Serial >> (8 * i))
+		}
+		_, _ = h.Write(num[:])
+		out[rangeOf(key)] ^= h.Sum64()
+	}
+	return out
+}
--- /dev/null
+++ b/register/founder.go
@@ -0,0 +1,145 @@
+package register
+
+import (
+	"sort"
+	"time"
+
+	"linedrum.example/linedrum/quorum"
+)
+
+// FounderPorts is what founding reports to its node.
+type FounderPorts interface {
+	NewSet(quorum.Set)
+	Founded(quorum.Set)
+	Stuck(reason string)
+}
+
+// Founder finds the disk set, and forms the first one (design.md section 3.5).
+// All configured founders must be present and empty, and each empty disk pledges
+// itself to one first set only, for good: so no two first sets can both be formed,
+// and an empty disk never founds beside state that exists. It is not safe for
+// concurrent use.
+type Founder struct {
+	self     string
+	founders []string
+	acceptor *Acceptor // nil on a node without a disk
+	clock    Clock
+	net      Net
+	ports    FounderPorts
+	every    time.Duration
+	due      time.Duration
+	ask      uint64
+	seen     map[string]Message // founder's address: what it said this round
+	wanted   quorum.Set
+	pledged  map[string]bool
+	said     bool
+	extra    func() []string // other nodes that may know the set
+}
+
+// NewFounder makes one; extra lists further nodes with disks, from the table.
+func NewFounder(self string, founders []string, acceptor *Acceptor, clock Clock, net Net, ports FounderPorts, every time.Duration, firstAsk uint64, extra func() []string) *Founder {
+	sorted := append([]string(nil), founders...)
+	sort.Strings(sorted)
+	return &Founder{
+		self: self, founders: sorted, acceptor: acceptor, clock: clock, net: net, ports: ports,
+		every: every, ask: firstAsk, extra: extra,
+	}
+}
+
+// Tick asks around while the set is unknown, and now and then afterwards.
+func (f *Founder) Tick(known quorum.Set) {
+	now := f.clock.Now()
+	if now < f.due {
+		return
+	}
+	f.due = now + f.every
+	if known.Formed() {
+		f.due = now + 8*f.every
+	}
+	f.ask++
+	f.seen, f.pledged, f.wanted = map[string]Message{}, map[string]bool{}, quorum.Set{}
+	asked := map[string]bool{}
+	for _, addr := range append(append([]string(nil), f.founders...), f.extra()...) {
+		if !asked[addr] {
+			asked[addr] = true
+			f.net.Send(addr, Message{Kind: KindWho, Ask: f.ask, From: f.self})
+		}
+	}
+}
+
+// Receive takes what a disk said; false when the ask is not this founder's.
+func (f *Founder) Receive(in Message) bool {
+	if in.Ask != f.ask {
+		return false
+	}
+	if in.Set.Formed() {
+		f.ports.NewSet(in.Set)
+		f.wanted = quorum.Set{}
+		f.seen = map[string]Message{}
+		return true
+	}
+	switch {
+	case in.Kind == KindIAm && f.wanted.Serial == 0:
+		f.seen[in.From] = in
+		f.propose()
+	case in.Kind == KindReply && f.wanted.Serial != 0:
+		f.collect(in)
+	}
+	return true
+}
+
+func (f *Founder) propose() {
+	if f.acceptor == nil || f.acceptor.Set().Formed() {
+		return
+	}
+	var disks []quorum.Disk
+	for _, addr := range f.founders {
+		said, ok := f.seen[addr]
+		if !ok || said.Disk == "" {
+			return
+		}
+		disks = append(disks, quorum.Disk{Identity: said.Disk, Addr: addr})
+	}
+	f.wanted = quorum.Set{Serial: 1, Disks: quorum.Sorted(disks)}
+	for _, addr := range f.founders {
+		if p := f.seen[addr].Pledge; p.Formed() && !p.Equal(f.wanted) {
+			f.stuck("a founder is pledged to other disks: its data folder, or another founder's, was replaced before the first set was formed")
+			f.wanted = quorum.Set{}
+			return
+		}
+	}
+	for _, addr := range f.founders {
+		f.net.Send(addr, Message{Kind: KindPledge, Ask: f.ask, From: f.self, Pledge: f.wanted})
+	}
+}
+
+func (f *Founder) stuck(reason string) {
+	if !f.said {
+		f.said = true
+		f.ports.Stuck(reason)
+	}
+}
+
+func (f *Founder) collect(in Message) {
+	if !in.Yes || !in.Pledge.Equal(f.wanted) {
+		return
+	}
+	f.pledged[in.Disk] = true
+	for _, d := range f.wanted.Disks {
+		if !f.pledged[d.Identity] {
+			return
+		}
+	}
+	founded := f.wanted
+	f.wanted = quorum.Set{}
+	f.ports.Founded(founded)
+	for _, d := range founded.Disks {
+		f.net.Send(d.Addr, Message{Kind: KindSet, From: f.self, Set: founded})
+	}
+}
+
+// Reseed takes a new list of founders, to be asked for the set.
+func (f *Founder) Reseed(founders []string) {
+	f.founders = append([]string(nil), founders...)
+	sort.Strings(f.founders)
+}
