Neighbours compare table digests, so joins at one moment find each other

Cause: two nodes that join at the same moment are not in each other's copied tables, and neither is in the tree that announces the other; only the re-announcement after h/3 brought them together. Also: the cores moved into one package that process and simulator share, and disks are replaced through a recorded change of the disk set.

--- a/calot/member.go
+++ b/calot/member.go
@@ -1,7 +1,9 @@
 package calot
 
 import (
+	"encoding/binary"
 	"sort"
+	"strconv"
 	"time"
 
 	"linedrum.example/linedrum/ring"
@@ -80,6 +82,7 @@
 	probeAt      int
 	mergeDue     time.Duration
 	announceSoon bool
+	differ       map[string]int // neighbour: beats in a row whose digest was not ours
 
 	// Notices counts notice datagrams sent, the figure of the paper's section 3.3.
 	Notices uint64
@@ -92,7 +95,7 @@
 	m := &Member{
 		self: self, id: self.ID(), timing: timing,
 		clock: clock, net: net, bulk: bulk, watch: watch,
-		table: map[string]*slot{}, pendings: map[uint64]*pending{}, seen: map[heardSeq]time.Duration{},
+		table: map[string]*slot{}, pendings: map[uint64]*pending{}, seen: map[heardSeq]time.Duration{}, differ: map[string]int{},
 		seq: firstSeq,
 	}
 	m.Reseed(seeds)
@@ -202,11 +205,40 @@
 		}
 	}
 	for _, e := range departed {
-		if e.Addr == m.self.Addr && e.Incarnation >= m.self.Incarnation {
-			m.refute(e.Incarnation)
-		}
+		// News like a notice's: whoever is wrongly named refutes it.
+		m.apply(e, true, false)
+	}
+}
+
+// digest sums the live table up, for a neighbour to compare with its own.
+func (m *Member) digest() uint64 {
+	out := digestOf(m.self)
+	m.resort()
+	for _, s := range m.sorted {
+		out ^= digestOf(s.entry)
+	}
+	return out
+}
+
+func digestOf(e Entry) uint64 {
+	h := ring.Of(e.Addr + "#" + strconv.FormatUint(e.Incarnation, 10))
+	return binary.BigEndian.Uint64(h[:8])
+}
+
+// compare mends what a missed notice left behind, between neighbours only: two
+// whose tables differ for a few beats in a row exchange them in bulk (section 2.4).
+func (m *Member) compare(in Message) {
+	if in.Known == m.digest() {
+		delete(m.differ, in.From.Addr)
+		return
+	}
+	m.differ[in.From.Addr]++
+	now := m.clock.Now()
+	if m.differ[in.From.Addr] >= 3 && now >= m.mergeDue {
+		delete(m.differ, in.From.Addr)
+		m.mergeDue = now + m.timing.Probe
+		m.bulk.Copy(in.From.Addr)
 	}
-	m.announceSoon = true
 }
 
 func (m *Member) refute(incarnation uint64) {
--- a/calot/message.go
+++ b/calot/message.go
@@ -51,7 +51,7 @@
 	Left     bool    // notice: it said so itself
 	Key      ring.ID // lookup and found: the key; notice: end of the range to cover
 	Origin   Entry   // lookup: who asks
-	Known    uint64  // found: last incarnation known of the asker; probe: the one we hold departed
+	Known    uint64  // found: last incarnation known of the asker; probe: the one we hold departed; beat and its reply: digest of the sender's table
 	Hops     uint32
 }
 
--- a/calot/step.go
+++ b/calot/step.go
@@ -23,13 +23,17 @@
 			return
 		}
 		predecessor, successor := m.neighbours()
-		reply := Message{Kind: KindBeatReply, Seq: in.Seq, From: m.self}
+		m.compare(in)
+		reply := Message{Kind: KindBeatReply, Seq: in.Seq, From: m.self, Known: m.digest()}
 		if predecessor != nil {
 			reply.Subject, reply.Other = predecessor.entry, successor.entry
 		}
 		m.net.Send(in.From.Addr, reply)
 	case KindBeatReply:
-		m.mendLinks(in)
+		if m.joined {
+			m.compare(in)
+			m.mendLinks(in)
+		}
 	case KindNotice:
 		m.ack(in)
 		if !m.once(in) || !m.joined {
@@ -395,9 +399,10 @@
 	if predecessor == nil {
 		return
 	}
-	m.net.Send(successor.entry.Addr, Message{Kind: KindBeat, Seq: m.nextSeq(), From: m.self})
+	digest := m.digest()
+	m.net.Send(successor.entry.Addr, Message{Kind: KindBeat, Seq: m.nextSeq(), From: m.self, Known: digest})
 	if predecessor != successor {
-		m.net.Send(predecessor.entry.Addr, Message{Kind: KindBeat, Seq: m.nextSeq(), From: m.self})
+		m.net.Send(predecessor.entry.Addr, Message{Kind: KindBeat, Seq: m.nextSeq(), From: m.self, Known: digest})
 	}
 }
 
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,286 @@
+// Package core joins the state machines of one node - membership, registers,
+// permits, duties, the change of disks - over ports for clock, network, disk
+// and randomness. The process in package node and the simulator in package sim
+// run this same code (design.md section 7). Nothing here blocks, starts
+// anything, or is safe for concurrent use.
+package core
+
+import (
+	"strconv"
+	"time"
+
+	"linedrum.example/linedrum/calot"
+	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/inforce"
+	"linedrum.example/linedrum/quorum"
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/ring"
+	"linedrum.example/linedrum/settings"
+	"linedrum.example/linedrum/wire"
+)
+
+// Ports is everything outside a core.
+type Ports interface {
+	Now() time.Duration
+	Uint64() uint64
+	Datagram(to string, m calot.Message)
+	Frame(to string, m register.Message, c wire.Cohort)
+	Say(n event.Number, fields event.Fields)
+	// TableChanged hears of each change to the membership.
+	TableChanged(e calot.Entry, departed bool)
+	// Adopted hears of each control cell that comes in force on this node.
+	Adopted(key string, cell register.Cell)
+}
+
+// Keys of the control state that every node holds a permit for (section 3.1).
+const (
+	KeyDesk    = "desk"
+	KeyEngines = "engines"
+	KeySites   = "sites"
+	KeyRoles   = "roles/" // and the pool's name
+	KeyDisks   = "disks"
+)
+
+// BaseKeys are covered by every permit; the pools' role tables come on top.
+var BaseKeys = []string{KeyDesk, KeyEngines, KeySites}
+
+// Core is one node's state.
+type Core struct {
+	ports    Ports
+	settings settings.Settings
+
+	Member   *calot.Member
+	Acceptor *register.Acceptor // nil without a disk
+	Holder   *register.Holder
+	Paths    *register.Paths
+	Founder  *register.Founder
+	Keeper   *inforce.Keeper
+
+	settling map[string]time.Duration
+	duties   map[string]*Duty
+	looks    map[uint64]*look
+	nextLook uint64
+	mend     mender
+	change   changer
+	had      bool // a permit was held at the last tick
+}
+
+// New makes a core; an acceptor that was replayed from this node's disk goes
+// in, or nil. Nothing is sent before Start.
+func New(s settings.Settings, acceptor *register.Acceptor, ports Ports) *Core {
+	c := &Core{
+		ports: ports, settings: s, Acceptor: acceptor,
+		settling: map[string]time.Duration{}, duties: map[string]*Duty{}, looks: map[uint64]*look{},
+		nextLook: ports.Uint64() >> 8,
+	}
+	identity := ""
+	if acceptor != nil {
+		identity = acceptor.Identity()
+	}
+	recovery, inForce := s.Bounds.Recovery.D(), s.Bounds.InForce.D()
+	self := calot.Entry{Addr: s.Listen, HTTP: s.HTTP, Site: s.Site, Disk: identity}
+	c.Member = calot.New(self, s.Seeds, calot.TimingFor(recovery), ports, datagrams{ports}, bulk{c}, ports, ports.Uint64()>>8)
+	round := inForce / 8
+	c.Holder = register.NewHolder(self.Addr, ports, frames{ports}, ports, round, c.newSet)
+	c.Paths = register.NewPaths(self.Addr, ports, frames{ports}, nearest{c}, c.Holder, 4*round, ports.Uint64()>>8)
+	c.Founder = register.NewFounder(self.Addr, s.Founders, acceptor, ports, frames{ports}, founding{c}, recovery/24, ports.Uint64()>>8, c.diskNodes)
+	// One permit serves three bounds: it is cut to the tightest (section 1.3).
+	bound := min(inForce, s.Bounds.EngineLeave.D()*2/3, s.Bounds.SiteEmpty.D()*2/5)
+	c.Keeper = inforce.New(self.Addr, ports, frames{ports}, keeping{c}, inforce.TimingFor(bound), ports.Uint64()>>8)
+	c.Keeper.Want(BaseKeys)
+	if acceptor != nil && acceptor.Set().Formed() {
+		c.Holder.Adopt(acceptor.Set())
+	}
+	return c
+}
+
+// Start looks for the ring.
+func (c *Core) Start() { c.Member.Join() }
+
+// Self is this node's address.
+func (c *Core) Self() string { return c.settings.Listen }
+
+// TickEvery is how often Tick is to be called: a ratio to the in-force bound.
+func (c *Core) TickEvery() time.Duration { return c.settings.Bounds.InForce.D() / 200 }
+
+// Tick does what is due.
+func (c *Core) Tick() {
+	c.Member.Tick()
+	c.Founder.Tick(c.Holder.Set())
+	c.Holder.Tick()
+	c.Paths.Tick()
+	c.Keeper.Tick()
+	c.tickLooks()
+	now := c.ports.Now()
+	if c.Acceptor != nil {
+		c.tickMend(now)
+	}
+	c.tickChange(now)
+	if held := c.Keeper.Held(); held != c.had {
+		c.had = held
+		if held {
+			c.ports.Say(event.PermitHeld, nil)
+		} else {
+			c.ports.Say(event.PermitLost, nil)
+		}
+	}
+}
+
+// Datagram takes a membership message.
+func (c *Core) Datagram(m calot.Message) { c.Member.Receive(m) }
+
+// Frame takes any other message between nodes.
+func (c *Core) Frame(m register.Message, t wire.Cohort) {
+	switch m.Kind {
+	case register.KindPrepare, register.KindAccept, register.KindPledge, register.KindWho,
+		register.KindQuery, register.KindDigest, register.KindRange:
+		c.disk(m)
+	case register.KindSet:
+		c.newSet(m.Set)
+	case register.KindReply:
+		if !c.Holder.Receive(m) {
+			c.Founder.Receive(m)
+		}
+	case register.KindIAm:
+		if !c.Founder.Receive(m) {
+			c.heardReady(m)
+		}
+	case register.KindQueried:
+		if !c.Keeper.Receive(m) {
+			c.receiveLook(m)
+		}
+	case register.KindDo, register.KindDone:
+		c.Paths.Receive(m)
+	case register.KindName:
+		c.duty(m.Key).named = true
+	case register.KindDigests, register.KindCells:
+		c.receiveMend(m)
+	case register.KindCopy:
+		c.ports.Frame(m.From, register.Message{Kind: register.KindTable, From: c.Self()}, wire.Cohort{
+			Alive: c.Member.Alive(), Departed: c.Member.Departed(),
+		})
+	case register.KindTable:
+		c.Member.Copied(m.From, t.Alive, t.Departed)
+	}
+}
+
+// disk passes a message to this node's disk, or says that there is none.
+func (c *Core) disk(m register.Message) {
+	reply := func(out register.Message) {
+		if m.From != "" {
+			c.ports.Frame(m.From, out, wire.Cohort{})
+		}
+	}
+	if c.Acceptor != nil {
+		c.Acceptor.Handle(m, func(out register.Message) {
+			if out.Kind == register.KindIAm {
+				out.Base = c.change.readyFor
+			}
+			reply(out)
+		})
+		return
+	}
+	if m.Kind == register.KindWho {
+		reply(register.Message{Kind: register.KindIAm, Ask: m.Ask, From: c.Self(), Set: c.Holder.Set()})
+	}
+}
+
+// newSet takes a disk set heard of, if it is newer, for asking and for this disk.
+func (c *Core) newSet(set quorum.Set) {
+	if c.Holder.Adopt(set) {
+		c.ports.Say(event.DiskSetTaken, event.Fields{"set": set.Serial, "disks": len(set.Disks), "next": len(set.Next)})
+		c.Keeper.Void()
+	}
+	if c.Acceptor != nil {
+		c.Acceptor.Handle(register.Message{Kind: register.KindSet, Set: set}, func(register.Message) {})
+	}
+}
+
+// diskNodes lists the nodes of the table that have a disk.
+func (c *Core) diskNodes() []string {
+	var out []string
+	for _, e := range c.Member.Alive() {
+		if e.Disk != "" {
+			out = append(out, e.Addr)
+		}
+	}
+	return out
+}
+
+// Owner is the live node nearest to a key.
+func (c *Core) Owner(key string) string {
+	if near := c.Member.Nearest(ring.Of(key)); len(near) > 0 {
+		return near[0].Addr
+	}
+	return ""
+}
+
+// settle has a key's holder finish what stands on some disks only.
+func (c *Core) settle(key string) {
+	now := c.ports.Now()
+	if now < c.settling[key] {
+		return
+	}
+	patience := c.settings.Bounds.InForce.D() / 2
+	c.settling[key] = now + patience
+	c.Paths.Do(register.Request{Key: key, Read: true, Patience: patience}, func(register.Result) {
+		delete(c.settling, key)
+		c.Keeper.Hurry()
+	})
+}
+
+// OpID names one write, so that a repeat of it is recognized.
+func (c *Core) OpID() string { return c.Self() + "#" + strconv.FormatUint(c.ports.Uint64(), 16) }
+
+// Reload takes what may change while the node runs.
+func (c *Core) Reload(s settings.Settings) {
+	c.settings.Seeds, c.settings.Founders, c.settings.Size = s.Seeds, s.Founders, s.Size
+	c.Member.Reseed(s.Seeds)
+	c.Founder.Reseed(s.Founders)
+}
+
+// The cores' own ports.
+
+type datagrams struct{ p Ports }
+
+func (d datagrams) Send(to string, m calot.Message) { d.p.Datagram(to, m) }
+
+type frames struct{ p Ports }
+
+func (f frames) Send(to string, m register.Message) { f.p.Frame(to, m, wire.Cohort{}) }
+
+type bulk struct{ c *Core }
+
+func (b bulk) Copy(from string) {
+	b.c.ports.Frame(from, register.Message{Kind: register.KindCopy, From: b.c.Self()}, wire.Cohort{})
+}
+
+type nearest struct{ c *Core }
+
+func (n nearest) Nearest(key string) []string {
+	var out []string
+	for _, e := range n.c.Member.Nearest(ring.Of(key)) {
+		out = append(out, e.Addr)
+	}
+	return out
+}
+
+type founding struct{ c *Core }
+
+func (f founding) NewSet(set quorum.Set) { f.c.newSet(set) }
+
+func (f founding) Founded(set quorum.Set) {
+	f.c.ports.Say(event.DiskFounded, event.Fields{"disks": len(set.Disks)})
+	f.c.newSet(set)
+}
+
+func (f founding) Stuck(reason string) {
+	f.c.ports.Say(event.FoundingStuck, event.Fields{"reason": reason})
+}
+
+type keeping struct{ c *Core }
+
+func (k keeping) Set() quorum.Set                      { return k.c.Holder.Set() }
+func (k keeping) NewSet(set quorum.Set)                { k.c.newSet(set) }
+func (k keeping) Settle(key string)                    { k.c.settle(key) }
+func (k keeping) Adopt(key string, cell register.Cell) { k.c.ports.Adopted(key, cell) }
--- /dev/null
+++ b/core/look.go
@@ -0,0 +1,59 @@
+package core
+
+import (
+	"time"
+
+	"linedrum.example/linedrum/quorum"
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/wire"
+)
+
+// look reads one key from a majority without writing anything.
+type look struct {
+	key     string
+	replies map[string]register.Cell
+	due     time.Duration
+	done    func(register.Cell, bool)
+}
+
+// Look finds the cell that a majority of disks holds alike; false when they
+// differ or too few reply in time.
+func (c *Core) Look(key string, patience time.Duration, done func(register.Cell, bool)) {
+	c.nextLook++
+	set := c.Holder.Set()
+	c.looks[c.nextLook] = &look{key: key, replies: map[string]register.Cell{}, due: c.ports.Now() + patience, done: done}
+	for _, d := range set.All() {
+		c.ports.Frame(d.Addr, register.Message{
+			Kind: register.KindQuery, Ask: c.nextLook, From: c.Self(),
+			Set: quorum.Set{Serial: set.Serial}, Cells: []register.KeyCell{{Key: key}},
+		}, wire.Cohort{})
+	}
+}
+
+func (c *Core) receiveLook(m register.Message) {
+	l := c.looks[m.Ask]
+	if l == nil || !m.Yes || len(m.Cells) != 1 || m.Cells[0].Key != l.key {
+		return
+	}
+	l.replies[m.Disk] = m.Cells[0].Cell
+	for _, mine := range l.replies {
+		if c.Holder.Set().Majority(func(d string) bool {
+			theirs, ok := l.replies[d]
+			return ok && theirs.Same(mine)
+		}) {
+			delete(c.looks, m.Ask)
+			l.done(mine, true)
+			return
+		}
+	}
+}
+
+func (c *Core) tickLooks() {
+	now := c.ports.Now()
+	for ask, l := range c.looks {
+		if now >= l.due {
+			delete(c.looks, ask)
+			l.done(register.Cell{}, false)
+		}
+	}
+}
--- /dev/null
+++ b/core/mend.go
@@ -0,0 +1,101 @@
+package core
+
+import (
+	"time"
+
+	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/quorum"
+	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/wire"
+)
+
+// mender compares this disk's range digests with another disk's, one at a time,
+// and takes what is newer there (section 3.6).
+type mender struct {
+	due      time.Duration
+	pruneDue time.Duration
+	ask      uint64
+	from     string
+	at       int
+	waiting  map[uint32]bool
+	serial   uint64 // the set's serial when this round began
+	floor    uint64
+}
+
+func (c *Core) tickMend(now time.Duration) {
+	if now >= c.mend.pruneDue {
+		c.mend.pruneDue = now + c.settings.Bounds.OnceKeep.D()/16
+		if pruned := c.Acceptor.Prune(); pruned > 0 {
+			c.ports.Say(event.DiskPruned, event.Fields{"keys": pruned})
+		}
+	}
+	set := c.Holder.Set()
+	if now < c.mend.due || !set.Formed() || !set.Has(c.Acceptor.Identity()) {
+		return
+	}
+	c.mend.due = now + c.settings.Bounds.Recovery.D()/2
+	if c.copying(set) {
+		// A disk that is being admitted copies with haste.
+		c.mend.due = now + c.settings.Bounds.Recovery.D()/12
+	}
+	disks := set.All()
+	for range disks {
+		c.mend.at++
+		d := disks[c.mend.at%len(disks)]
+		if d.Identity == c.Acceptor.Identity() {
+			continue
+		}
+		c.mend.ask, c.mend.from = c.ports.Uint64(), d.Identity
+		c.mend.waiting, c.mend.serial = map[uint32]bool{}, set.Serial
+		c.askDisk(d.Addr, register.KindDigest, 0)
+		return
+	}
+}
+
+func (c *Core) askDisk(to string, kind register.Kind, at uint32) {
+	c.ports.Frame(to, register.Message{
+		Kind: kind, Ask: c.mend.ask, From: c.Self(), Set: quorum.Set{Serial: c.mend.serial}, Range: at,
+	}, wire.Cohort{})
+}
+
+func (c *Core) receiveMend(m register.Message) {
+	if c.Acceptor == nil || m.Ask != c.mend.ask || m.Disk != c.mend.from || !m.Yes {
+		return
+	}
+	if m.Kind == register.KindDigests {
+		c.mend.floor = m.Floor
+		for i, mine := range c.Acceptor.Digests() {
+			if i < len(m.Digests) && m.Digests[i] != mine {
+				c.mend.waiting[uint32(i)] = true
+				c.askDisk(m.From, register.KindRange, uint32(i))
+			}
+		}
+		c.mendedFrom()
+		return
+	}
+	if !c.mend.waiting[m.Range] {
+		return
+	}
+	delete(c.mend.waiting, m.Range)
+	// A long copy goes on as long as it makes progress.
+	c.mend.due = max(c.mend.due, c.ports.Now()+c.settings.Bounds.Recovery.D()/12)
+	mended := 0
+	for _, kc := range m.Cells {
+		if c.Acceptor.Mend(kc, c.joining(c.Holder.Set())) {
+			mended++
+		}
+	}
+	if mended > 0 {
+		c.ports.Say(event.DiskMended, event.Fields{"cells": mended, "from": m.Disk})
+	}
+	c.mendedFrom()
+}
+
+// mendedFrom notes that all of one disk's cells were taken over, once all
+// ranges that differed have come.
+func (c *Core) mendedFrom() {
+	if len(c.mend.waiting) > 0 {
+		return
+	}
+	c.copied(c.mend.from, c.mend.serial, c.mend.floor)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -12,84 +12,86 @@
 // The catalogue. 1xx membership, 2xx control state, 3xx desks and engines,
 // 4xx requests, 5xx the process itself.
 const (
-	CohortJoined  Number = 101
-	CohortGone    Number = 102
-	RingJoined    Number = 103
-	RingLeft      Number = 104
-	DatagramBad   Number = 105
-	FrameBad      Number = 106
-	DiskOpened    Number = 201
-	DiskTorn      Number = 202
-	DiskDamaged   Number = 203
-	DiskFailed    Number = 204
-	DiskFounded   Number = 205
-	DiskSetTaken  Number = 206
-	FoundingStuck Number = 207
-	DiskMended    Number = 208
-	DutyTaken     Number = 211
-	DutyGiven     Number = 212
-	DiskPruned    Number = 213
-	DeskInForce   Number = 301
-	EnginesTaken  Number = 302
-	SitesTaken    Number = 303
-	RolesTaken    Number = 304
-	RoleOrdered   Number = 305
-	RoleRefused   Number = 306
-	PermitLost    Number = 307
-	PermitHeld    Number = 308
-	DeskRefused   Number = 309
-	EngineSilent  Number = 311
-	EngineBack    Number = 312
-	RequestDone   Number = 401
-	RequestFailed Number = 402
-	StreamCut     Number = 403
-	Started       Number = 501
-	Stopping      Number = 502
-	Stopped       Number = 503
-	Reloaded      Number = 504
-	ReloadRefused Number = 505
-	StartRefused  Number = 506
+	CohortJoined   Number = 101
+	CohortGone     Number = 102
+	RingJoined     Number = 103
+	RingLeft       Number = 104
+	DatagramBad    Number = 105
+	FrameBad       Number = 106
+	DiskOpened     Number = 201
+	DiskTorn       Number = 202
+	DiskDamaged    Number = 203
+	DiskFailed     Number = 204
+	DiskFounded    Number = 205
+	DiskSetTaken   Number = 206
+	FoundingStuck  Number = 207
+	DiskMended     Number = 208
+	DutyTaken      Number = 211
+	DutyGiven      Number = 212
+	DiskPruned     Number = 213
+	DiskSetDecided Number = 214
+	DeskInForce    Number = 301
+	EnginesTaken   Number = 302
+	SitesTaken     Number = 303
+	RolesTaken     Number = 304
+	RoleOrdered    Number = 305
+	RoleRefused    Number = 306
+	PermitLost     Number = 307
+	PermitHeld     Number = 308
+	DeskRefused    Number = 309
+	EngineSilent   Number = 311
+	EngineBack     Number = 312
+	RequestDone    Number = 401
+	RequestFailed  Number = 402
+	StreamCut      Number = 403
+	Started        Number = 501
+	Stopping       Number = 502
+	Stopped        Number = 503
+	Reloaded       Number = 504
+	ReloadRefused  Number = 505
+	StartRefused   Number = 506
 )
 
 // Catalogue says what each number means, in the words of docs/log-events.md.
 var Catalogue = map[Number]string{
-	CohortJoined:  "a cohort member is in the table",
-	CohortGone:    "a cohort member left the table",
-	RingJoined:    "this node has its place on the ring",
-	RingLeft:      "this node left the ring",
-	DatagramBad:   "damaged or foreign datagrams were dropped",
-	FrameBad:      "a cohort connection was closed on a damaged or foreign frame",
-	DiskOpened:    "the data folder was opened and replayed",
-	DiskTorn:      "a torn tail was cut off the log",
-	DiskDamaged:   "the log is damaged before its end; this disk does not vote",
-	DiskFailed:    "a write or sync failed; this disk does not vote until restart",
-	DiskFounded:   "the founders' disks formed the first disk set",
-	DiskSetTaken:  "a newer disk set was taken over",
-	FoundingStuck: "the founders do not agree on one disk set",
-	DiskMended:    "cells were mended from another disk",
-	DutyTaken:     "this node took a duty",
-	DutyGiven:     "this node gave a duty up",
-	DiskPruned:    "once-only keys whose time is over were forgotten",
-	DeskInForce:   "a desk file is in force on this node",
-	EnginesTaken:  "a list of engines is in force on this node",
-	SitesTaken:    "a state of the sites is in force on this node",
-	RolesTaken:    "a role table is in force on this node",
-	RoleOrdered:   "an engine took a role",
-	RoleRefused:   "an engine did not take a role",
-	PermitLost:    "the permit ran out; new work is bounced",
-	PermitHeld:    "the permit is held again",
-	DeskRefused:   "a desk file was refused",
-	EngineSilent:  "an engine does not report its load",
-	EngineBack:    "an engine reports its load again",
-	RequestDone:   "a request was replied to",
-	RequestFailed: "a request failed, with its verdict",
-	StreamCut:     "a stream broke after its first byte",
-	Started:       "the node serves",
-	Stopping:      "the node stops: it leaves the ring and finishes what it has read",
-	Stopped:       "the node stopped",
-	Reloaded:      "the settings were read again",
-	ReloadRefused: "the new settings are at fault; the old ones stay",
-	StartRefused:  "the node did not start",
+	CohortJoined:   "a cohort member is in the table",
+	CohortGone:     "a cohort member left the table",
+	RingJoined:     "this node has its place on the ring",
+	RingLeft:       "this node left the ring",
+	DatagramBad:    "damaged or foreign datagrams were dropped",
+	FrameBad:       "a cohort connection was closed on a damaged or foreign frame",
+	DiskOpened:     "the data folder was opened and replayed",
+	DiskTorn:       "a torn tail was cut off the log",
+	DiskDamaged:    "the log is damaged before its end; this disk does not vote",
+	DiskFailed:     "a write or sync failed; this disk does not vote until restart",
+	DiskFounded:    "the founders' disks formed the first disk set",
+	DiskSetTaken:   "a newer disk set was taken over",
+	FoundingStuck:  "the founders do not agree on one disk set",
+	DiskMended:     "cells were mended from another disk",
+	DutyTaken:      "this node took a duty",
+	DutyGiven:      "this node gave a duty up",
+	DiskPruned:     "once-only keys whose time is over were forgotten",
+	DiskSetDecided: "a change of the disk set was decided on a majority",
+	DeskInForce:    "a desk file is in force on this node",
+	EnginesTaken:   "a list of engines is in force on this node",
+	SitesTaken:     "a state of the sites is in force on this node",
+	RolesTaken:     "a role table is in force on this node",
+	RoleOrdered:    "an engine took a role",
+	RoleRefused:    "an engine did not take a role",
+	PermitLost:     "the permit ran out; new work is bounced",
+	PermitHeld:     "the permit is held again",
+	DeskRefused:    "a desk file was refused",
+	EngineSilent:   "an engine does not report its load",
+	EngineBack:     "an engine reports its load again",
+	RequestDone:    "a request was replied to",
+	RequestFailed:  "a request failed, with its verdict",
+	StreamCut:      "a stream broke after its first byte",
+	Started:        "the node serves",
+	Stopping:       "the node stops: it leaves the ring and finishes what it has read",
+	Stopped:        "the node stopped",
+	Reloaded:       "the settings were read again",
+	ReloadRefused:  "the new settings are at fault; the old ones stay",
+	StartRefused:   "the node did not start",
 }
 
 // Log writes numbered events.
--- a/inforce/keeper.go
+++ b/inforce/keeper.go
@@ -101,6 +101,12 @@
 // Hurry renews at the next tick: something is known to have changed.
 func (k *Keeper) Hurry() { k.sent = k.clock.Now() - k.timing.Renew }
 
+// Void drops an answer under way: it was asked of another set of disks.
+func (k *Keeper) Void() {
+	k.open = false
+	k.Hurry()
+}
+
 // Tick renews the permit when it is time.
 func (k *Keeper) Tick() {
 	now := k.clock.Now()
--- a/node/disk.go
+++ b/node/disk.go
@@ -41,7 +41,7 @@
 	return func(err error) {
 		d.n.mu.Lock()
 		defer d.n.mu.Unlock()
-		trusted := d.n.acceptor.Trusted()
+		trusted := d.n.core.Acceptor.Trusted()
 		then(err)
 		if trusted && err != nil && !errors.Is(err, wal.ErrStopped) {
 			d.n.log.Say(event.DiskFailed, event.Fields{"reason": err.Error()})
@@ -51,36 +51,36 @@
 
 // openDisk opens the data folder and replays it. A folder that is damaged, or
 // that lost its identity, is a clear refusal to start (section 3.4).
-func (n *Node) openDisk() (string, error) {
+func (n *Node) openDisk() (*register.Acceptor, error) {
 	folder, err := wal.OpenFolder(n.settings.Data)
 	if err != nil {
-		return "", errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	n.folder = folder
 	identity, err := diskIdentity(folder)
 	if err != nil {
-		return "", errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
-	n.acceptor = register.NewAcceptor(identity, n.settings.Listen, diskLog{n}, n.clock, n.settings.Bounds.OnceKeep.D())
+	acceptor := register.NewAcceptor(identity, n.settings.Listen, diskLog{n}, n.clock, n.settings.Bounds.OnceKeep.D())
 	disk, report, err := wal.Open(folder, diskLimit, func(record []byte) error {
 		rec, _, err := wire.UnpackFrame(n.settings.Fleet, record)
 		if err != nil {
 			return errors.Annotate(err, "a record of the log cannot be read")
 		}
-		n.acceptor.Replay(rec)
+		acceptor.Replay(rec)
 		return nil
 	})
 	if err != nil {
 		n.log.Say(event.DiskDamaged, event.Fields{"data": n.settings.Data, "reason": err.Error()})
-		return "", errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	n.disk = disk
 	if report.Torn > 0 {
 		n.log.Say(event.DiskTorn, event.Fields{"file": report.TornFile, "bytes": report.Torn})
 	}
-	n.log.Say(event.DiskOpened, event.Fields{"disk": identity, "records": report.Records, "set": n.acceptor.Set().Serial})
+	n.log.Say(event.DiskOpened, event.Fields{"disk": identity, "records": report.Records, "set": acceptor.Set().Serial})
 	n.crew.Start(func(ctx context.Context) { disk.Run(ctx) })
-	return identity, nil
+	return acceptor, nil
 }
 
 func diskIdentity(folder *wal.Folder) (string, error) {
@@ -105,26 +105,20 @@
 	return identity, wal.Put(folder, identityFile, []byte(identity+"\n"))
 }
 
-// tickDisk keeps the log short and forgets once-only keys whose time is over.
-func (n *Node) tickDisk() {
-	if n.acceptor == nil {
+// cutLog keeps the log short: a picture of the state takes the place of what is
+// before it. Called under mu.
+func (n *Node) cutLog() {
+	acceptor := n.core.Acceptor
+	if acceptor == nil || !acceptor.Trusted() || n.disk.Since() <= cutAfter {
 		return
 	}
-	if n.acceptor.Trusted() && n.disk.Since() > cutAfter {
-		var picture [][]byte
-		for _, rec := range n.acceptor.Picture() {
-			if b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{}); err == nil {
-				picture = append(picture, b)
-			}
-		}
-		n.disk.Cut(picture)
-	}
-	now := n.clock.Now()
-	if now >= n.mend.pruneDue {
-		n.mend.pruneDue = now + n.settings.Bounds.OnceKeep.D()/16
-		if pruned := n.acceptor.Prune(); pruned > 0 {
-			n.log.Say(event.DiskPruned, event.Fields{"keys": pruned})
+	var picture [][]byte
+	for _, rec := range acceptor.Picture() {
+		b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{})
+		if err != nil {
+			return // keep the log: a picture that misses a record is worse than a long one
 		}
+		picture = append(picture, b)
 	}
-	n.tickMend(now)
+	n.disk.Cut(picture)
 }
--- a/node/front.go
+++ b/node/front.go
@@ -121,9 +121,8 @@
 	n.log.Say(event.Stopping, nil)
 	n.front.draining.Store(true)
 	n.front.server.SetKeepAlivesEnabled(false)
-	n.giveAll()
 	n.mu.Lock()
-	n.member.Leave()
+	n.core.Leave()
 	n.mu.Unlock()
 	deadline, cancel := context.WithTimeout(context.Background(), n.settings.Bounds.Drain.D())
 	defer cancel()
@@ -140,7 +139,7 @@
 	every(ctx, n.settings.Bounds.InForce.D()/100, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if n.member.Left() {
+		if n.core.Member.Left() {
 			cancel()
 		}
 	})
@@ -253,8 +252,8 @@
 	out["link.bytes_sent"] = link.Bytes.Load()
 	out["link.dropped"] = link.Dropped.Load()
 	f.n.mu.Lock()
-	out["calot.notices_sent"] = f.n.member.Notices
-	out["permit.asked"], out["permit.granted"] = f.n.keeper.Asked, f.n.keeper.Granted
+	out["calot.notices_sent"] = f.n.core.Member.Notices
+	out["permit.asked"], out["permit.granted"] = f.n.core.Keeper.Asked, f.n.core.Keeper.Granted
 	disk := f.n.disk
 	f.n.mu.Unlock()
 	if disk != nil {
--- a/node/ops.go
+++ b/node/ops.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"linedrum.example/linedrum/core"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
@@ -29,9 +30,7 @@
 func (f *front) edit(w http.ResponseWriter, r *http.Request, req register.Request, id string) (register.Cell, bool) {
 	req.Patience = f.opPatience()
 	res := f.n.Do(r.Context(), req)
-	f.n.mu.Lock()
-	f.n.keeper.Hurry()
-	f.n.mu.Unlock()
+	f.n.hurry()
 	switch res.Outcome {
 	case register.Done:
 		return res.Cell, true
@@ -68,7 +67,7 @@
 }
 
 func (f *front) getDesk(w http.ResponseWriter, r *http.Request) {
-	cell, ok := f.read(w, r, keyDesk)
+	cell, ok := f.read(w, r, core.KeyDesk)
 	if !ok {
 		return
 	}
@@ -134,7 +133,7 @@
 		f.fail(w, faultsError(faults, "the desk file"))
 		return
 	}
-	cell, ok := f.read(w, r, keyDesk)
+	cell, ok := f.read(w, r, core.KeyDesk)
 	if !ok {
 		return
 	}
@@ -156,7 +155,7 @@
 		f.fail(w, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusInternalServerError, Code: "unreadable", Reason: "the desk file cannot be stored", Cause: err})
 		return
 	}
-	if cell, ok := f.edit(w, r, register.Request{Key: keyDesk, Base: base, Op: "desk:" + id, Value: value}, id); ok {
+	if cell, ok := f.edit(w, r, register.Request{Key: core.KeyDesk, Base: base, Op: "desk:" + id, Value: value}, id); ok {
 		writeJSON(w, http.StatusOK, map[string]any{"serial": cell.Serial, "id": id})
 	}
 }
@@ -168,7 +167,7 @@
 		f.fail(w, bad(http.StatusBadRequest, "bad-field", "id", "the query must say id=ID, the id of the apply"))
 		return
 	}
-	cell, ok := f.read(w, r, keyDesk)
+	cell, ok := f.read(w, r, core.KeyDesk)
 	if !ok {
 		return
 	}
@@ -199,7 +198,7 @@
 	}
 	op := f.n.opID()
 	for range 4 {
-		cell, ok := f.read(w, r, keyEngines)
+		cell, ok := f.read(w, r, core.KeyEngines)
 		if !ok {
 			return
 		}
@@ -214,10 +213,8 @@
 			f.passed(w, held.Serial, "")
 			return
 		}
-		res := f.n.Do(r.Context(), register.Request{Key: keyEngines, Base: cell.Serial, Op: op, Value: value, Patience: f.opPatience()})
-		f.n.mu.Lock()
-		f.n.keeper.Hurry()
-		f.n.mu.Unlock()
+		res := f.n.Do(r.Context(), register.Request{Key: core.KeyEngines, Base: cell.Serial, Op: op, Value: value, Patience: f.opPatience()})
+		f.n.hurry()
 		switch res.Outcome {
 		case register.Done:
 			writeJSON(w, http.StatusOK, map[string]any{"serial": list.Serial})
@@ -233,7 +230,7 @@
 }
 
 func (f *front) getEngines(w http.ResponseWriter, r *http.Request) {
-	cell, ok := f.read(w, r, keyEngines)
+	cell, ok := f.read(w, r, core.KeyEngines)
 	if !ok {
 		return
 	}
@@ -268,7 +265,7 @@
 	}
 	op := f.n.opID()
 	for range 4 {
-		cell, ok := f.read(w, r, keySites)
+		cell, ok := f.read(w, r, core.KeySites)
 		if !ok {
 			return
 		}
@@ -287,10 +284,8 @@
 		if err != nil {
 			panic(err)
 		}
-		res := f.n.Do(r.Context(), register.Request{Key: keySites, Base: cell.Serial, Op: op, Value: value, Patience: f.opPatience()})
-		f.n.mu.Lock()
-		f.n.keeper.Hurry()
-		f.n.mu.Unlock()
+		res := f.n.Do(r.Context(), register.Request{Key: core.KeySites, Base: cell.Serial, Op: op, Value: value, Patience: f.opPatience()})
+		f.n.hurry()
 		switch res.Outcome {
 		case register.Done:
 			writeJSON(w, http.StatusOK, map[string]any{"serial": res.Cell.Serial, "empty": names(next.Empty)})
@@ -317,7 +312,7 @@
 func (n *Node) knowsSite(site string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, e := range n.member.Alive() {
+	for _, e := range n.core.Member.Alive() {
 		if e.Site == site {
 			return true
 		}
@@ -387,33 +382,33 @@
 	var s status
 	n.mu.Lock()
 	now := n.clock.Now()
-	self := n.member.Self()
+	self := n.core.Member.Self()
 	s.Node.Addr, s.Node.Site, s.Node.Incarnation, s.Node.Disk = self.Addr, self.Site, self.Incarnation, self.Disk
-	if n.acceptor != nil {
-		trusted := n.acceptor.Trusted()
+	if n.core.Acceptor != nil {
+		trusted := n.core.Acceptor.Trusted()
 		s.Node.DiskTrusted = &trusted
 	}
-	s.Node.Permit = n.keeper.Held()
-	s.Node.PermitMS = max((n.keeper.Until() - now).Milliseconds(), 0)
+	s.Node.Permit = n.core.Keeper.Held()
+	s.Node.PermitMS = max((n.core.Keeper.Until() - now).Milliseconds(), 0)
 	s.Node.Stopping = f.draining.Load()
-	s.DiskSet = n.holder.Set()
+	s.DiskSet = n.core.Holder.Set()
 	s.InForce.Desk, s.InForce.Engines, s.InForce.Sites = n.picture.DeskSerial, n.picture.EngineSerial, n.picture.SiteSerial
 	s.EmptySites = names(n.picture.Sites.Empty)
-	for _, e := range n.member.Alive() {
+	for _, e := range n.core.Member.Alive() {
 		s.Members = append(s.Members, memberStatus{e.Addr, e.HTTP, e.Site, e.Incarnation, e.Disk, false})
 	}
-	for _, e := range n.member.Departed() {
+	for _, e := range n.core.Member.Departed() {
 		s.Members = append(s.Members, memberStatus{e.Addr, e.HTTP, e.Site, e.Incarnation, e.Disk, true})
 	}
-	keys := append([]string(nil), baseKeys...)
+	keys := append([]string(nil), core.BaseKeys...)
 	if n.picture.Desk != nil {
 		for _, p := range n.picture.Desk.Pools {
-			keys = append(keys, keyRoles+p.Name)
+			keys = append(keys, core.KeyRoles+p.Name)
 		}
 	}
 	for _, key := range keys {
-		cell := n.keeper.Cell(key)
-		s.Keys = append(s.Keys, keyStatus{key, n.owner(key), cell.Epoch.Count, cell.Epoch.Holder, cell.Serial})
+		cell := n.core.Keeper.Cell(key)
+		s.Keys = append(s.Keys, keyStatus{key, n.core.Owner(key), cell.Epoch.Count, cell.Epoch.Holder, cell.Serial})
 	}
 	n.mu.Unlock()
 	s.Engines = n.engines.status(now)
--- a/node/reload.go
+++ b/node/reload.go
@@ -29,8 +29,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.member.Reseed(fresh.Seeds)
-	n.founder.Reseed(fresh.Founders)
+	n.core.Reload(fresh)
 	n.budget.Size = fresh.Size
 	return nil
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -256,7 +256,7 @@
 	now := q.n.clock.Now()
 	nodes, _ := q.n.fleetView()
 	q.n.mu.Lock()
-	v := ledger.View{Now: now, Permit: q.n.keeper.Held(), Budget: q.n.budget.May(now, nodes)}
+	v := ledger.View{Now: now, Permit: q.n.core.Keeper.Held(), Budget: q.n.budget.May(now, nodes)}
 	q.n.mu.Unlock()
 	v.Left = q.ctx.Err() != nil && !(q.ledger.Once && len(q.ledger.Goes) > 0)
 	// What was nominated must still be allowed by what is in force now.
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -66,7 +66,10 @@
 		a.slot(rec.Key).promised = rec.Epoch
 	case KindAccept:
 		s := a.slot(rec.Key)
-		s.promised, s.cell = rec.Epoch, rec.Cell
+		if s.promised.Less(rec.Epoch) {
+			s.promised = rec.Epoch
+		}
+		s.cell = rec.Cell
 	case KindSet:
 		a.set = rec.Set
 	case KindPledge:
@@ -178,7 +181,7 @@
 		}
 		a.barrier(out, reply)
 	case KindDigest:
-		out.Kind, out.Yes, out.Digests = KindDigests, true, a.Digests()
+		out.Kind, out.Yes, out.Digests, out.Floor = KindDigests, true, a.Digests(), a.floor
 		a.barrier(out, reply)
 	case KindRange:
 		out.Kind, out.Yes, out.Range = KindCells, true, in.Range
@@ -272,19 +275,34 @@
 }
 
 // Mend takes a newer accepted cell from another disk, as the accept message
-// that this disk missed (section 3.6).
-func (a *Acceptor) Mend(kc KeyCell) bool {
-	s := a.slots[kc.Key]
-	if a.failed || kc.Cell.Serial == 0 || s != nil && (kc.Cell.Epoch.Less(s.promised) || !kc.Cell.Newer(s.cell)) {
+// that this disk missed (section 3.6). A disk that is being admitted takes it
+// even below its promise: whoever got that promise got one from a majority of
+// the old disks too, and so has seen what was chosen there (section 3.8).
+func (a *Acceptor) Mend(kc KeyCell, admitted bool) bool {
+	if a.failed || kc.Cell.Serial == 0 {
 		return false
 	}
+	s := a.slots[kc.Key]
 	if s == nil && strings.HasPrefix(kc.Key, PassingPrefix) && kc.Cell.Epoch.Count <= a.floor {
 		return false
 	}
-	a.accept(Message{Kind: KindAccept, Key: kc.Key, Epoch: kc.Cell.Epoch, Cell: kc.Cell}, Message{}, func(Message) {})
+	if s != nil && (!kc.Cell.Newer(s.cell) || kc.Cell.Epoch.Less(s.promised) && !admitted) {
+		return false
+	}
+	rec := Message{Kind: KindAccept, Key: kc.Key, Epoch: kc.Cell.Epoch, Cell: kc.Cell}
+	a.slot(kc.Key)
+	a.Replay(rec)
+	a.log.Append(rec, a.then(Message{}, func(Message) {}))
 	return true
 }
 
+// Raise lifts the floor to that of the disks that a new disk copied from; then
+// runs once that and all that was mended before it is synced.
+func (a *Acceptor) Raise(floor uint64, then func(error)) {
+	a.floor = max(a.floor, floor)
+	a.log.Append(Message{Kind: KindPrune, Floor: a.floor}, then)
+}
+
 // Prune forgets passing keys whose time is over. The floor rises with them, so
 // that a proposer of old can never write to a forgotten key (section 3.7).
 func (a *Acceptor) Prune() int {
