--- a/bench/audit/record.go
+++ b/bench/audit/record.go
@@ -65,6 +65,7 @@
 	Want     int    `json:"want"`
 	Text     string `json:"text,omitempty"`
 	FirstMS  int64  `json:"first_ms"`
+	Unsent   bool   `json:"unsent,omitempty"` // the node could not be dialled
 	LingerMS int64  `json:"linger_ms,omitempty"`
 }
 
--- a/bench/callers/callers.go
+++ b/bench/callers/callers.go
@@ -7,7 +7,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -80,6 +82,8 @@
 	res, err := c.http.Do(req)
 	if err != nil {
 		rec.Code = err.Error()
+		var op *net.OpError
+		rec.Unsent = errors.As(err, &op) && op.Op == "dial"
 		return
 	}
 	defer res.Body.Close()
--- a/bench/cmd/linedrum-bench/main.go
+++ b/bench/cmd/linedrum-bench/main.go
@@ -12,6 +12,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&demoCommand{}, "")
+	subcommands.Register(&drillCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/bench/drill/drill.go
@@ -0,0 +1,222 @@
+// Package drill brings failures about on a whole fleet under load, and has the
+// auditor judge what both ends recorded.
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sort"
+	"time"
+
+	"linedrum.example/linedrum/bench/audit"
+	"linedrum.example/linedrum/bench/callers"
+	"linedrum.example/linedrum/bench/fleet"
+)
+
+// Run is one drill under way.
+type Run struct {
+	Fleet  *fleet.Fleet
+	Client *callers.Client
+	Book   *audit.Book[audit.CallerRecord]
+	Out    io.Writer
+	began  time.Time
+	desk   uint64
+}
+
+// Step is something done at a time of the drill.
+type Step struct {
+	At   time.Duration
+	What string
+	Do   func(r *Run) error
+}
+
+// Drill is a named course of steps under load.
+type Drill struct {
+	Name  string
+	About string
+	Span  time.Duration
+	Steps func(r *Run) []Step
+}
+
+// Result is what a drill came to.
+type Result struct {
+	Breaches []audit.Breach
+	Summary  map[string]int
+	Repeats  float64 // worst window, as a share of the budget
+	Calls    int
+	Whole    int
+	Checks   map[string]float64 // figures against bounds, as ratios
+}
+
+// Say writes one line of the drill's course.
+func (r *Run) Say(format string, args ...any) {
+	fmt.Fprintf(r.Out, "%7.2fs %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Begin lays a fleet out, starts it, and hands it its desk file and engines.
+func Begin(spec fleet.Spec, folder, binary string, out io.Writer) (*Run, error) {
+	f, err := fleet.New(spec, folder, binary)
+	if err != nil {
+		return nil, err
+	}
+	r := &Run{Fleet: f, Out: out, began: time.Now()}
+	if r.Book, err = audit.NewBook[audit.CallerRecord](filepath.Join(folder, "callers.jsonl")); err != nil {
+		return nil, err
+	}
+	r.Client = callers.New(r.Book)
+	if err := f.Start(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	if err := r.setUp(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Run) setUp() error {
+	f := r.Fleet
+	err := fleet.Await(20*time.Second, "the desk file is taken", func() bool {
+		status, _, _ := f.Apply(f.Nodes[0], 0, "first", fleet.DeskFile(f.Spec))
+		return status == http.StatusOK
+	})
+	if err != nil {
+		return err
+	}
+	r.desk = 1
+	if status, err := f.SendEngines(f.Nodes[len(f.Nodes)-1]); status != http.StatusOK {
+		return fmt.Errorf("engines: status %d, %v", status, err)
+	}
+	return f.AwaitReady(30 * time.Second)
+}
+
+// nodes are the addresses that callers know: all of them, dead or not.
+func (r *Run) nodes() []string {
+	var out []string
+	for _, n := range r.Fleet.Nodes {
+		out = append(out, n.HTTP)
+	}
+	return out
+}
+
+// AnyNode is a node that runs, for operators and the platform.
+func (r *Run) AnyNode() *fleet.Node {
+	for i := len(r.Fleet.Nodes) - 1; i >= 0; i-- {
+		if r.Fleet.Nodes[i].Running() {
+			return r.Fleet.Nodes[i]
+		}
+	}
+	return r.Fleet.Nodes[0]
+}
+
+// Course runs load and steps to their end and audits.
+func (r *Run) Course(d Drill, streams []callers.Stream, seed uint64) (Result, error) {
+	r.began = time.Now()
+	r.Say("drill %s on %s, seed %d: %s", d.Name, r.Fleet.Spec.Name, seed, d.About)
+	ctx, cancel := context.WithTimeout(context.Background(), d.Span+90*time.Second)
+	defer cancel()
+	steps := d.Steps(r)
+	sort.SliceStable(steps, func(i, j int) bool { return steps[i].At < steps[j].At })
+	failed := make(chan error, 1)
+	r.Fleet.Crew().Start(func(context.Context) {
+		for _, s := range steps {
+			t := time.NewTimer(time.Until(r.began.Add(s.At)))
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
+			r.Say("%s", s.What)
+			if err := s.Do(r); err != nil {
+				failed <- fmt.Errorf("%s: %w", s.What, err)
+				return
+			}
+		}
+		failed <- nil
+	})
+	mix := callers.Mix{Streams: streams, Nodes: r.nodes, Seed: seed, Prefix: fmt.Sprintf("%s-%d-", d.Name, seed)}
+	mix.Run(ctx, r.Client, d.Span)
+	if err := <-failed; err != nil {
+		return Result{}, err
+	}
+	return r.Audit(), nil
+}
+
+// Audit judges what has been recorded so far.
+func (r *Run) Audit() Result {
+	ev := audit.Evidence{Engines: r.Fleet.Book.All(), Callers: r.Book.All(), Control: r.Fleet.Control.All()}
+	bounds := audit.DefaultBounds()
+	res := Result{Breaches: audit.Audit(ev, bounds), Summary: callers.Summary(ev.Callers), Calls: len(ev.Callers), Checks: map[string]float64{}}
+	res.Repeats, _, _, _ = audit.Goes(ev, bounds)
+	for _, c := range ev.Callers {
+		if c.Whole {
+			res.Whole++
+		}
+	}
+	reads, cached, memory, across := 0, 0, 0, 0
+	sites := map[string]string{}
+	for _, e := range r.Fleet.Engines {
+		sites[e.Name] = e.Site
+	}
+	for _, e := range ev.Engines {
+		if e.Event != audit.EventRun {
+			continue
+		}
+		if e.Phase == "prefill" && e.Bytes > 1024 {
+			reads++
+			if e.Cached {
+				cached++
+			}
+		}
+		if e.Phase == "decode" {
+			memory++
+			if sites[e.Reader] != e.Site {
+				across++
+			}
+		}
+	}
+	if reads > 0 {
+		res.Checks["shared prefix read before"] = float64(cached) / float64(reads)
+	}
+	if memory > 0 {
+		res.Checks["hand-overs between sites"] = float64(across) / float64(memory)
+	}
+	return res
+}
+
+// Print shows a result.
+func (res Result) Print(out io.Writer) {
+	var keys []string
+	for key := range res.Summary {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	fmt.Fprintf(out, "calls %d, whole replies %d (%.4f)\n", res.Calls, res.Whole, float64(res.Whole)/float64(max(res.Calls, 1)))
+	for _, key := range keys {
+		fmt.Fprintf(out, "  %-60s %d\n", key, res.Summary[key])
+	}
+	fmt.Fprintf(out, "repeated goes, worst window, of the budget: %.3f\n", res.Repeats)
+	var checks []string
+	for key := range res.Checks {
+		checks = append(checks, key)
+	}
+	sort.Strings(checks)
+	for _, key := range checks {
+		fmt.Fprintf(out, "%s: %.3f\n", key, res.Checks[key])
+	}
+	if len(res.Breaches) == 0 {
+		fmt.Fprintln(out, "the auditor found no breach")
+		return
+	}
+	fmt.Fprintf(out, "the auditor found %d breaches:\n", len(res.Breaches))
+	for i, b := range res.Breaches {
+		if i == 20 {
+			fmt.Fprintln(out, "  ...")
+			break
+		}
+		fmt.Fprintf(out, "  %s: %s\n", b.Line, b.Evidence)
+	}
+}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -226,6 +226,38 @@
 	return e, nil
 }
 
+// RestartEngine starts a crashed stand-in anew where it was, fresh and without a role.
+func (f *Fleet) RestartEngine(old *standin.Engine) (*standin.Engine, error) {
+	e, err := standin.Start(f.crew, old.Name, old.Site, f.Spec.Pool, old.Addr(), f.Spec.Pace, f.Book)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.Engines {
+		if f.Engines[i] == old {
+			f.Engines[i] = e
+		}
+	}
+	return e, nil
+}
+
+// EnginesAt lists the stand-ins of one site.
+func (f *Fleet) EnginesAt(site string) []*standin.Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*standin.Engine
+	for _, e := range f.Engines {
+		if e.Site == site {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Crew starts goroutines for drills.
+func (f *Fleet) Crew() *crew.Crew { return f.crew }
+
 // Start brings all engines and nodes up.
 func (f *Fleet) Start() error {
 	for i := range f.Spec.Engines {
@@ -274,11 +306,11 @@
 	return res.StatusCode, text, err
 }
 
-// Leaving marks an engine as leaving in the next lists.
-func (f *Fleet) Leaving(name string) {
+// Leaving marks an engine as leaving, or as live again, in the next lists.
+func (f *Fleet) Leaving(name string, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.leaving[name] = true
+	f.leaving[name] = leaving
 }
 
 // SendEngines is the platform: it sends its list, under its next serial, to a node.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -32,6 +32,9 @@
 	}()
 }
 
+// Wait waits for all duties to end by themselves.
+func (c *Crew) Wait() { c.wg.Wait() }
+
 // Stop tells all duties to end and waits for them.
 func (c *Crew) Stop() {
 	c.cancel()
