--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -327,7 +327,7 @@
 }
 
 func TestStreams(t *testing.T) {
-	b := begin(t, swift(), func(s *settings.Settings) { s.Limits.Slow = settings.Default().Bounds.Linger })
+	b := begin(t, swift(), func(s *settings.Settings) { s.Limits.Slow = strict.Duration(200 * time.Millisecond) })
 	Convey("a stream that breaks ends visibly broken, and nothing replaces it", t, func() {
 		b.faults(standin.Faults{CutAfter: 3})
 		before := b.count(audit.EventRun, "decode")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,7 +34,6 @@
 	RetryExtra  int             `json:"retry_extra" min:"0" max:"10000"`
 	RetryWindow strict.Duration `json:"retry_window" min:"1s" max:"5m"`
 	OnceKeep    strict.Duration `json:"once_keep" min:"1s" max:"24h"`
-	Linger      strict.Duration `json:"linger" min:"1ms" max:"5s"`
 	Drain       strict.Duration `json:"drain" min:"1s" max:"10m"`
 }
 
@@ -54,7 +53,7 @@
 		Bounds: Bounds{
 			InForce: d(2 * time.Second), EngineLeave: d(3 * time.Second), SiteEmpty: d(5 * time.Second),
 			Recovery: d(12 * time.Second), RetryShare: 0.2, RetryExtra: 60, RetryWindow: d(10 * time.Second),
-			OnceKeep: d(10 * time.Minute), Linger: d(200 * time.Millisecond), Drain: d(time.Minute),
+			OnceKeep: d(10 * time.Minute), Drain: d(time.Minute),
 		},
 		Limits: Limits{Body: 1 << 20, Header: 16 << 10, Recall: 16 << 10, Slow: d(10 * time.Second), Waiting: 4096},
 	}
