More drills: engine trouble, freezes, racing operators, crowds, a new machine

Also here: the header bound replies in JSON, hand-over times and lapses weigh on a link, status shows the desk in force on every member.

--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -94,15 +94,6 @@
 	return f.AwaitReady(30 * time.Second)
 }
 
-// nodes are the addresses that callers know: all of them, dead or not.
-func (r *Run) nodes() []string {
-	var out []string
-	for _, n := range r.Fleet.Nodes {
-		out = append(out, n.HTTP)
-	}
-	return out
-}
-
 // AnyNode is a node that runs, for operators and the platform.
 func (r *Run) AnyNode() *fleet.Node {
 	for i := len(r.Fleet.Nodes) - 1; i >= 0; i-- {
@@ -137,7 +128,7 @@
 		}
 		failed <- nil
 	})
-	mix := callers.Mix{Streams: streams, Nodes: r.nodes, Seed: seed, Prefix: fmt.Sprintf("%s-%d-", d.Name, seed)}
+	mix := callers.Mix{Streams: streams, Nodes: r.Fleet.Addresses, Seed: seed, Prefix: fmt.Sprintf("%s-%d-", d.Name, seed)}
 	mix.Run(ctx, r.Client, d.Span)
 	if err := <-failed; err != nil {
 		return Result{}, err
--- a/bench/drill/drills.go
+++ b/bench/drill/drills.go
@@ -176,5 +176,8 @@
 
 // Drills lists all by name.
 func Drills(span time.Duration) []Drill {
-	return []Drill{LoseDisk(span), LoseZone(span), Control(span), Rolling(span), LoseAll(span)}
+	return []Drill{
+		LoseDisk(span), LoseZone(span), Control(span), Rolling(span), LoseAll(span),
+		EngineTrouble(span), Freeze(span), Operators(span), Crowd(span), NewMachine(span),
+	}
 }
--- /dev/null
+++ b/bench/drill/trouble.go
@@ -0,0 +1,164 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"linedrum.example/linedrum/bench/callers"
+	"linedrum.example/linedrum/bench/fleet"
+	"linedrum.example/linedrum/bench/standin"
+	"linedrum.example/linedrum/crew"
+)
+
+// EngineTrouble crashes engines, darkens one, cuts streams, and lapses all memory.
+func EngineTrouble(span time.Duration) Drill {
+	return Drill{Name: "engine-trouble", About: "engines crash, go dark, cut their streams, and lose all memory at once", Span: span, Steps: func(r *Run) []Step {
+		e := append([]*standin.Engine(nil), r.Fleet.Engines...)
+		return []Step{
+			at(0.10, span, "two engines crash", func(*Run) error { e[0].Crash(); e[5].Crash(); return nil }),
+			at(0.25, span, "they start anew, fresh and without a role", func(r *Run) error {
+				for _, old := range []*standin.Engine{e[0], e[5]} {
+					if _, err := r.Fleet.RestartEngine(old); err != nil {
+						return err
+					}
+				}
+				return nil
+			}),
+			at(0.30, span, "one engine goes dark", func(*Run) error { e[3].SetFaults(standin.Faults{Dark: true}); return nil }),
+			at(0.45, span, "it is back, and another cuts its streams", func(*Run) error {
+				e[3].SetFaults(standin.Faults{})
+				e[4].SetFaults(standin.Faults{CutAfter: 2})
+				return nil
+			}),
+			at(0.60, span, "that one is well, and all memory lapses at once", func(r *Run) error {
+				e[4].SetFaults(standin.Faults{})
+				for _, x := range r.Fleet.Engines {
+					x.SetFaults(standin.Faults{Lapse: true})
+				}
+				return nil
+			}),
+			at(0.70, span, "one engine's links are slow", func(*Run) error {
+				e[7].SetFaults(standin.Faults{SlowLink: 400 * time.Millisecond})
+				return nil
+			}),
+			at(0.90, span, "they are well again", func(*Run) error { e[7].SetFaults(standin.Faults{}); return nil }),
+		}
+	}}
+}
+
+// Freeze stops processes between two of their steps, and lets them go on.
+func Freeze(span time.Duration) Drill {
+	return Drill{Name: "freeze", About: "routers, owners and disk machines freeze and wake", Span: span, Steps: func(r *Run) []Step {
+		var steps []Step
+		for i, index := range []int{0, 4, 1, len(r.Fleet.Nodes) - 1} {
+			n := r.Fleet.Nodes[index]
+			share := 0.05 + 0.22*float64(i)
+			steps = append(steps,
+				at(share, span, fmt.Sprintf("node %d freezes", index), func(*Run) error { n.Signal(syscall.SIGSTOP); return nil }),
+				at(share+0.18, span, fmt.Sprintf("node %d wakes", index), func(*Run) error { n.Signal(syscall.SIGCONT); return nil }))
+		}
+		return append(steps, at(0.97, span, "all nodes are to be ready", awaitServing))
+	}}
+}
+
+// Operators edit one serial at the same moment, through different nodes.
+func Operators(span time.Duration) Drill {
+	return Drill{Name: "operators", About: "two operators edit the same serial at the same moment, again and again", Span: span, Steps: func(r *Run) []Step {
+		var steps []Step
+		for i := range 8 {
+			steps = append(steps, at(0.05+0.1*float64(i), span, fmt.Sprintf("race %d", i), func(r *Run) error {
+				var status [2]int
+				race := crew.New(context.Background())
+				for j := range 2 {
+					n := r.Fleet.Nodes[(i+j*3)%len(r.Fleet.Nodes)]
+					race.Start(func(context.Context) {
+						status[j], _, _ = r.Fleet.Apply(n, r.desk, fmt.Sprintf("race-%d-%d", i, j), fleet.DeskFile(r.Fleet.Spec))
+					})
+				}
+				race.Wait()
+				if status[0]+status[1] != http.StatusOK+http.StatusConflict {
+					return fmt.Errorf("the two heard %v", status)
+				}
+				r.desk++
+				return nil
+			}))
+		}
+		return steps
+	}}
+}
+
+// Crowd sends a dispatch run all at once beside the people who wait.
+func Crowd(span time.Duration) Drill {
+	return Drill{Name: "crowd", About: "several hundred checks arrive at once, three times", Span: span, Steps: func(r *Run) []Step {
+		checks, _ := fleet.Desks(r.Fleet.Spec)
+		var steps []Step
+		for i := range 3 {
+			steps = append(steps, at(0.2+0.25*float64(i), span, "a crowd of 400 checks", func(r *Run) error {
+				all := crew.New(context.Background())
+				shared := strings.Repeat("the crowd's own long policy. ", 250)
+				for j := range 400 {
+					all.Start(func(ctx context.Context) {
+						r.Client.Do(ctx, callers.Call{
+							Request: fmt.Sprintf("crowd-%d-%d", i, j), Node: r.Fleet.Nodes[j%len(r.Fleet.Nodes)].HTTP, Desk: checks, Kind: "check",
+							Key: fmt.Sprintf("crowd-%d-%d", i, j), Prompt: shared + fmt.Sprint(j), MaxTokens: 3,
+						})
+					})
+				}
+				all.Wait()
+				return nil
+			}))
+		}
+		return steps
+	}}
+}
+
+// NewMachine loses a disk machine for good; an empty one at a new address takes
+// its place, and then another of the first three is lost.
+func NewMachine(span time.Duration) Drill {
+	return Drill{Name: "new-machine", About: "a core machine comes back empty at a new address, then another one is lost", Span: max(span, time.Minute), Steps: func(r *Run) []Step {
+		span := max(span, time.Minute)
+		var fresh *fleet.Node
+		return []Step{
+			at(0.05, span, "disk machine 0 is lost for good", func(r *Run) error { r.Fleet.Nodes[0].Kill(); return nil }),
+			at(0.08, span, "an empty machine starts at a new address", func(r *Run) error {
+				var err error
+				fresh, err = r.Fleet.AddNode(r.Fleet.Nodes[0].Site, true)
+				return err
+			}),
+			at(0.10, span, "its disk is to be admitted", func(r *Run) error {
+				began := time.Now()
+				err := fleet.Await(60*time.Second, "the new disk is in the set", func() bool {
+					s, err := r.Fleet.Status(fresh)
+					if err != nil {
+						return false
+					}
+					b, _ := json.Marshal(s["disk_set"])
+					return strings.Contains(string(b), fresh.Listen) && !strings.Contains(string(b), `"next"`)
+				})
+				r.Say("admitted after %.1f s", time.Since(began).Seconds())
+				return err
+			}),
+			at(0.85, span, "disk machine 1 is lost too", func(r *Run) error { r.Fleet.Nodes[1].Kill(); return nil }),
+			at(0.95, span, "all other nodes are to be ready", awaitServing),
+		}
+	}}
+}
+
+// Served is how many of a kind's calls that reached a node got a whole reply.
+func (r *Run) Served(kind string) (whole, reached int) {
+	for _, c := range r.Book.All() {
+		if c.Kind != kind || c.Unsent {
+			continue
+		}
+		reached++
+		if c.Whole {
+			whole++
+		}
+	}
+	return whole, reached
+}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -140,17 +140,9 @@
 		return nil, err
 	}
 	for i := range spec.Nodes {
-		n := &Node{Index: i, Site: spec.Sites[i%len(spec.Sites)]}
-		if n.Listen, err = freePort(); err != nil {
+		if _, err := f.layNode(spec.Sites[i%len(spec.Sites)], i < spec.Disks); err != nil {
 			return nil, err
 		}
-		if n.HTTP, err = freePort(); err != nil {
-			return nil, err
-		}
-		if i < spec.Disks {
-			n.Data = filepath.Join(folder, fmt.Sprintf("data-%d", i))
-		}
-		f.Nodes = append(f.Nodes, n)
 	}
 	for _, n := range f.Nodes {
 		if err := f.WriteSettings(n, f.seeds()); err != nil {
@@ -160,6 +152,48 @@
 	return f, nil
 }
 
+// layNode gives a node its addresses and, if asked, an empty disk.
+func (f *Fleet) layNode(site string, disk bool) (*Node, error) {
+	n := &Node{Index: len(f.Nodes), Site: site}
+	var err error
+	if n.Listen, err = freePort(); err != nil {
+		return nil, err
+	}
+	if n.HTTP, err = freePort(); err != nil {
+		return nil, err
+	}
+	if disk {
+		n.Data = filepath.Join(f.Folder, fmt.Sprintf("data-%d", n.Index))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Nodes = append(f.Nodes, n)
+	return n, nil
+}
+
+// AddNode starts one more machine.
+func (f *Fleet) AddNode(site string, disk bool) (*Node, error) {
+	n, err := f.layNode(site, disk)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.WriteSettings(n, f.seeds()); err != nil {
+		return nil, err
+	}
+	return n, f.StartNode(n)
+}
+
+// Addresses are the HTTP addresses of all machines, running or not.
+func (f *Fleet) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, n := range f.Nodes {
+		out = append(out, n.HTTP)
+	}
+	return out
+}
+
 func (f *Fleet) seeds() []string {
 	var out []string
 	for i := 0; i < min(3, len(f.Nodes)); i++ {
--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -216,6 +216,7 @@
 			{"key too long", `{"model":"checks","prompt":"x"}`, []string{"Idempotency-Key", strings.Repeat("k", 256)}, 400, "Idempotency-Key"},
 			{"once streams", `{"model":"checks","prompt":"x","stream":true}`, []string{"Idempotency-Key", "k"}, 400, "stream"},
 			{"id too long", ok, []string{"X-Request-Id", strings.Repeat("i", 129)}, 400, "X-Request-Id"},
+			{"headers too long", ok, []string{"X-Padding", strings.Repeat("h", 20<<10)}, 431, "X-Padding"},
 			{"oversize", `{"model":"people","prompt":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, "(body)"},
 		} {
 			status, header, text := b.call(http.MethodPost, "/v1/completions", c.body, c.header...)
@@ -228,7 +229,7 @@
 			So(p.Error.Message, ShouldNotBeEmpty)
 			So(p.Error.Verdict, ShouldEqual, "not-run")
 			So(header.Get("X-Linedrum-Verdict"), ShouldEqual, "not-run")
-			So(header.Get("X-Request-Id") != "" || c.name == "id too long", ShouldBeTrue)
+			So(header.Get("X-Request-Id") != "" || c.name == "id too long" || c.name == "headers too long", ShouldBeTrue)
 		}
 		So(len(b.runs.All()), ShouldEqual, runs)
 	})
--- a/bench/standin/engine.go
+++ b/bench/standin/engine.go
@@ -319,7 +319,9 @@
 }
 
 func (e *Engine) decode(ctx context.Context, w http.ResponseWriter, request, run string, in call, faults Faults) {
+	fetching := time.Now()
 	prompt, err := e.take(ctx, in, faults)
+	w.Header().Set(engine.HeaderHandOver, strconv.FormatInt(time.Since(fetching).Milliseconds(), 10))
 	if err != nil || prompt != in.Prompt {
 		e.record(audit.EngineRecord{Event: audit.EventRefuse, Phase: engine.Decode, Request: request, Role: "lapsed"})
 		w.Header().Set(verdict.Header, verdict.NotRun.String())
--- a/cmd/linedrum/operators.go
+++ b/cmd/linedrum/operators.go
@@ -13,11 +13,13 @@
 	"net/url"
 	"os"
 	"strconv"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
 
+	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
 )
 
@@ -269,6 +271,44 @@
 }
 func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.flags(f) }
 
+type member struct {
+	Addr, HTTP, Site, Disk string
+	Incarnation            uint64
+	Departed               bool
+}
+
+// everyone asks each live member for the desk serial in force on it.
+func (c *statusCommand) everyone(members []member) map[string]string {
+	out := map[string]string{}
+	var mu sync.Mutex
+	asking := crew.New(context.Background())
+	for _, m := range members {
+		if m.Departed {
+			continue
+		}
+		asking.Start(func(context.Context) {
+			told := "no reply"
+			t := target{node: m.HTTP, wait: min(c.wait, 2*time.Second)}
+			if status, body, err := t.call(http.MethodGet, "/linedrum/status", nil); err == nil && status == http.StatusOK {
+				var s struct {
+					Node    struct{ Permit bool }
+					InForce struct{ Desk uint64 } `json:"in_force"`
+				}
+				_ = json.Unmarshal(body, &s)
+				told = strconv.FormatUint(s.InForce.Desk, 10)
+				if !s.Node.Permit {
+					told += ", no permit"
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[m.Addr] = told
+		})
+	}
+	asking.Wait()
+	return out
+}
+
 func (c *statusCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	status, body, err := c.call(http.MethodGet, "/linedrum/status", nil)
 	if err != nil {
@@ -285,12 +325,8 @@
 		Node    map[string]any
 		InForce struct{ Desk, Engines, Sites uint64 } `json:"in_force"`
 		Empty   []string                              `json:"empty_sites"`
-		Members []struct {
-			Addr, HTTP, Site, Disk string
-			Incarnation            uint64
-			Departed               bool
-		}
-		Keys []struct {
+		Members []member
+		Keys    []struct {
 			Key, Owner, Holder string
 			Epoch, Serial      uint64
 		}
@@ -307,13 +343,14 @@
 	fmt.Printf("node %v in zone %v, incarnation %v, permit %v\n", s.Node["addr"], s.Node["site"], s.Node["incarnation"], s.Node["permit"])
 	fmt.Printf("in force: desk %d, engines %d, zones %d; emptied zones: %v\n\n", s.InForce.Desk, s.InForce.Engines, s.InForce.Sites, s.Empty)
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(out, "MEMBER\tHTTP\tZONE\tINCARNATION\tDISK\tSTATE")
+	fmt.Fprintln(out, "MEMBER\tHTTP\tZONE\tINCARNATION\tDISK\tSTATE\tDESK IN FORCE")
+	inForce := c.everyone(s.Members)
 	for _, m := range s.Members {
 		state := "live"
 		if m.Departed {
 			state = "departed"
 		}
-		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%s\t%s\n", m.Addr, m.HTTP, m.Site, m.Incarnation, m.Disk, state)
+		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", m.Addr, m.HTTP, m.Site, m.Incarnation, m.Disk, state, inForce[m.Addr])
 	}
 	fmt.Fprintln(out, "\nKEY\tOWNER\tEPOCH\tHOLDER\tSERIAL\t")
 	for _, k := range s.Keys {
--- a/engine/client.go
+++ b/engine/client.go
@@ -22,6 +22,8 @@
 	HeaderRequest = "X-Request-Id"
 	HeaderExpiry  = "X-Linedrum-Expiry-Ms"
 	HeaderLapsed  = "X-Linedrum-Lapsed"
+	// HeaderHandOver is how long the memory took to come over, if the writer says.
+	HeaderHandOver = "X-Linedrum-Hand-Over-Ms"
 )
 
 // Codes of a failed go.
@@ -65,8 +67,9 @@
 
 // Reply is an engine's answer. A stream's Body is read by the caller, and closed.
 type Reply struct {
-	Body   []byte
-	Stream io.ReadCloser
+	Body     []byte
+	Stream   io.ReadCloser
+	HandOver time.Duration // negative when the engine does not say
 }
 
 // Complete sends one completion call and sorts every outcome into a verdict
@@ -102,8 +105,12 @@
 		_ = res.Body.Close()
 		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeBad, Reason: "the engine's reply names another request"}
 	}
+	handOver := time.Duration(-1)
+	if ms, err := strconv.ParseInt(res.Header.Get(HeaderHandOver), 10, 32); err == nil && ms >= 0 {
+		handOver = time.Duration(ms) * time.Millisecond
+	}
 	if call.Stream {
-		return Reply{Stream: res.Body}, nil
+		return Reply{Stream: res.Body, HandOver: handOver}, nil
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxReply+1))
@@ -116,7 +123,7 @@
 	if !json.Valid(body) {
 		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeBad, Reason: "the engine's reply is not JSON"}
 	}
-	return Reply{Body: body}, nil
+	return Reply{Body: body, HandOver: handOver}, nil
 }
 
 func cut(err error) error {
--- a/node/engines.go
+++ b/node/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 	mu       sync.Mutex    // taken after the gate's and the core lock
 	servers  map[string]*server
 	picture  Picture
-	slow     map[[2]string]float64
+	slow     map[[2]string]linkCost
 	nodes    int
 	rank     int
 	ordering map[string]bool
@@ -41,7 +42,7 @@
 func newEngines(site string, recovery time.Duration) *engines {
 	return &engines{
 		site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6,
-		servers: map[string]*server{}, slow: map[[2]string]float64{}, nodes: 1, ordering: map[string]bool{},
+		servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
 	}
 }
 
@@ -65,6 +66,11 @@
 			delete(t.servers, name)
 		}
 	}
+	for key := range t.slow {
+		if !listed[key[0]] || !listed[key[1]] {
+			delete(t.slow, key)
+		}
+	}
 }
 
 func (t *engines) place(nodes, rank int) {
@@ -94,11 +100,11 @@
 	return out
 }
 
-func (t *engines) view(pool, prefix string) pairing.View {
+func (t *engines) view(pool, prefix string, now time.Duration) pairing.View {
 	v := pairing.View{
 		Pool: pool, Site: t.site, Empty: t.picture.Sites.Empty, Prefix: prefix, Ramp: t.ramp,
 		Nodes: t.nodes, Rank: t.rank,
-		Slow: func(reader, writer string) float64 { return t.slow[[2]string{reader, writer}] },
+		Slow: func(reader, writer string) float64 { return t.costNow([2]string{reader, writer}, now) },
 	}
 	if t.picture.Desk != nil {
 		if p, ok := t.picture.Desk.Pool(pool); ok {
@@ -112,7 +118,7 @@
 func (t *engines) reserve(pool, prefix string, now time.Duration) (pairing.Pair, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	pair, ok := t.view(pool, prefix).Nominate(t.list(now))
+	pair, ok := t.view(pool, prefix, now).Nominate(t.list(now))
 	if ok {
 		t.begin(pair.Reader.Name)
 		t.begin(pair.Writer.Name)
@@ -124,7 +130,7 @@
 func (t *engines) reserveWriter(pool string, reader pairing.Server, now time.Duration) (pairing.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.view(pool, "").Writer(t.list(now), reader)
+	s, ok := t.view(pool, "", now).Writer(t.list(now), reader)
 	if ok {
 		t.begin(s.Name)
 	}
@@ -157,12 +163,28 @@
 		t.picture.Roles[pool].Table.Roles[name] == role
 }
 
-// slowLink remembers how long a hand-over between two engines took, against its usual.
-func (t *engines) slowLink(reader, writer string, cost float64) {
+// linkCost is what is remembered of the way between two engines. It fades, so
+// that a link which got better is tried again.
+type linkCost struct {
+	cost float64
+	at   time.Duration
+}
+
+func (t *engines) costNow(key [2]string, now time.Duration) float64 {
+	l, ok := t.slow[key]
+	if !ok {
+		return 0
+	}
+	return l.cost * math.Exp2(-float64(now-l.at)/float64(t.ramp))
+}
+
+// noteLink takes what one hand-over cost into account; 1 is as bad as a full engine.
+func (t *engines) noteLink(reader, writer string, cost float64, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := [2]string{reader, writer}
-	t.slow[key] += (cost - t.slow[key]) / 4
+	before := t.costNow(key, now)
+	t.slow[key] = linkCost{before + (cost-before)/2, now}
 }
 
 // states is the role planner's picture.
--- a/node/front.go
+++ b/node/front.go
@@ -60,6 +60,10 @@
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			// A write deadline outlives the request that set it: begin without one.
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+			if size, longest := headerSize(r); size > limits.Header {
+				f.fail(w, bad(http.StatusRequestHeaderFieldsTooLarge, "too-long", longest, "the headers are longer than %d bytes together", limits.Header))
+				return
+			}
 			next.ServeHTTP(w, r)
 		})
 	})
@@ -83,7 +87,8 @@
 		f.fail(w, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusMethodNotAllowed, Code: "bad-method", Reason: "this path does not take this method"})
 	})
 	f.server = &http.Server{
-		Handler: r, MaxHeaderBytes: limits.Header,
+		// The library's own bound replies without a body: it stands above ours.
+		Handler: r, MaxHeaderBytes: 4 * limits.Header,
 		ReadHeaderTimeout: limits.Slow.D(), IdleTimeout: time.Minute,
 	}
 	err := bus.Subscribe(n.bus, bus.TopicRequest, func(e ended) {
@@ -101,6 +106,20 @@
 	return f, errors.Trace(err)
 }
 
+// headerSize sums the headers up and names the longest one.
+func headerSize(r *http.Request) (size int, longest string) {
+	most := 0
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + 4
+			if len(v) >= most {
+				most, longest = len(v), name
+			}
+		}
+	}
+	return size, longest
+}
+
 func (f *front) serve() error {
 	listener, err := net.Listen("tcp", f.n.settings.HTTP)
 	if err != nil {
--- a/node/serve.go
+++ b/node/serve.go
@@ -452,6 +452,9 @@
 		Addr: q.pair.Writer.Addr, Request: q.id, Expiry: q.ledger.Expiry - q.n.clock.Now(), Stream: q.ask.Stream,
 		Body: q.body(map[string]any{"stream": q.ask.Stream, "kv_transfer_params": memory}),
 	})
+	if err == nil && reply.HandOver >= 0 {
+		q.n.engines.noteLink(q.pair.Reader.Name, q.pair.Writer.Name, float64(reply.HandOver)/float64(q.fullCost()), q.n.clock.Now())
+	}
 	if err == nil && q.ask.Stream {
 		err = q.stream(reply.Stream)
 	} else if err == nil {
@@ -465,11 +468,16 @@
 	if err != nil {
 		if g.Code == engine.CodeLapsed {
 			q.memory = nil
+			// Memory that is gone is a link that did not carry.
+			q.n.engines.noteLink(q.pair.Reader.Name, q.pair.Writer.Name, 1, q.n.clock.Now())
 		}
 		q.failedGo(q.pair.Writer.Name, g)
 	}
 }
 
+// fullCost is how long a hand-over takes that is as bad as a full engine.
+func (q *request) fullCost() time.Duration { return q.n.settings.Bounds.InForce.D() / 4 }
+
 // whole tells a finished completion: every choice says why it ended.
 func whole(body []byte) bool {
 	var out struct {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -236,3 +236,16 @@
 		again.Close()
 	})
 }
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte(magic))
+	f.Add(append([]byte(magic), block([][]byte{[]byte("one"), []byte("two")})...))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		m := newMemory()
+		m.written["0000000000000001.seg"] = in
+		_, _, _ = replayed(m)
+		m = newMemory()
+		m.written["0000000000000001.seg"], m.written["0000000000000001.pic"] = []byte(magic), in
+		_, _, _ = replayed(m)
+	})
+}
