Free slots are dealt out over the fleet; a late permit is waited for

Cause of the freeze's bounces: a node that wakes has an old permit, and bounced what waited at its door 250 ms before the next one.

--- a/ledger/budget.go
+++ b/ledger/budget.go
@@ -24,7 +24,9 @@
 }
 
 func (b *Budget) trim(now time.Duration) {
-	b.real = since(b.real, now-b.Window)
+	// Real traffic is counted over a little less than the window, since it was
+	// sent a little before it arrived here.
+	b.real = since(b.real, now-b.Window*9/10)
 	b.repeats = since(b.repeats, now-b.Window)
 }
 
@@ -36,7 +38,7 @@
 	return times[i:]
 }
 
-// Real notes one request that got its first go.
+// Real notes one request that arrived.
 func (b *Budget) Real(now time.Duration) {
 	b.trim(now)
 	b.real = append(b.real, now)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -54,11 +54,12 @@
 
 // View is the world outside the ledger at one instant.
 type View struct {
-	Now      time.Duration
-	Permit   bool
-	Budget   bool // a repeated go is within the fleet's budget
-	Left     bool // the consumer has gone
-	Capacity bool // an engine of the phase that comes next can take a go
+	Now        time.Duration
+	Permit     bool
+	PermitSoon bool // without a permit: it may come in a moment, so nothing is given up yet
+	Budget     bool // a repeated go is within the fleet's budget
+	Left       bool // the consumer has gone
+	Capacity   bool // an engine of the phase that comes next can take a go
 }
 
 // Step is what to do next.
@@ -176,7 +177,7 @@
 		return fail(CodeInput)
 	}
 	if !v.Permit {
-		if l.Verdict() == verdict.NotRun {
+		if l.Verdict() == verdict.NotRun && !v.PermitSoon {
 			return fail(CodePermit)
 		}
 		return Move{Step: StepWait, Code: CodePermit}
--- a/node/engines.go
+++ b/node/engines.go
@@ -150,7 +150,7 @@
 	defer t.mu.Unlock()
 	if s := t.servers[name]; s != nil {
 		s.inflight = max(s.inflight-1, 0)
-		s.since = max(s.since-1, 0)
+		s.since-- // below nought: a go that the last report counted has ended
 	}
 }
 
@@ -299,6 +299,15 @@
 	n.gate.Pump()
 }
 
+// full takes an engine's word that it is busy, until its next report.
+func (t *engines) full(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		s.load.Running = max(s.load.Running, s.load.Slots)
+	}
+}
+
 // restFor keeps new work off an engine for a moment.
 func (t *engines) restFor(name string, now time.Duration) {
 	t.mu.Lock()
--- a/node/serve.go
+++ b/node/serve.go
@@ -63,7 +63,7 @@
 	pair    pairing.Pair
 	reading bool // the reader is reserved
 	writing bool // the writer is reserved
-	counted bool // its first go was noted in the budget
+	arrived time.Duration
 	repeats int
 	memory  json.RawMessage // kv_transfer_params of the prefill
 	reply   []byte
@@ -195,6 +195,10 @@
 // run takes moves until the request has its reply (section 5.1).
 func (q *request) run() {
 	defer q.release()
+	q.arrived = q.n.clock.Now()
+	q.n.mu.Lock()
+	q.n.budget.Real(q.arrived)
+	q.n.mu.Unlock()
 	for {
 		move := q.ledger.Next(q.look())
 		switch move.Step {
@@ -258,6 +262,8 @@
 	q.n.mu.Lock()
 	v := ledger.View{Now: now, Permit: q.n.core.Keeper.Held(), Budget: q.n.budget.May(now, nodes)}
 	q.n.mu.Unlock()
+	// A permit that is a moment late is waited for, as after a freeze.
+	v.PermitSoon = now < q.arrived+q.n.settings.Bounds.InForce.D()/4
 	v.Left = q.ctx.Err() != nil && !(q.ledger.Once && len(q.ledger.Goes) > 0)
 	// What was nominated must still be allowed by what is in force now.
 	v.Capacity = q.writing && q.n.engines.usable(q.pool, q.pair.Writer.Name, engine.Decode) &&
@@ -380,12 +386,6 @@
 // begin notes a go in the ledger; its verdict is may-have-run until it is known.
 func (q *request) begin(phase ledger.Phase, server string) *ledger.Go {
 	now := q.n.clock.Now()
-	if !q.counted {
-		q.counted = true
-		q.n.mu.Lock()
-		q.n.budget.Real(now)
-		q.n.mu.Unlock()
-	}
 	q.ledger.Goes = append(q.ledger.Goes, ledger.Go{
 		Phase: phase, Name: phase.String(), Server: server, Verdict: verdict.MayHaveRun, Began: now,
 	})
@@ -407,10 +407,14 @@
 
 // failedGo lets an engine rest and gives the pair back.
 func (q *request) failedGo(server string, g *ledger.Go) {
-	if g.Code != engine.CodeLapsed && g.Code != engine.CodeInput {
+	q.release()
+	switch g.Code {
+	case engine.CodeLapsed, engine.CodeInput:
+	case engine.CodeBusy:
+		q.n.engines.full(server)
+	default:
 		q.n.engines.restFor(server, q.n.clock.Now())
 	}
-	q.release()
 }
 
 func (q *request) prefill() {
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -19,7 +19,7 @@
 	Seen     bool          // there is a report that is not too old
 	Age      time.Duration // since the engine started
 	Inflight int           // goes of this node that it has not finished
-	Since    int           // goes of this node begun since its last report
+	Since    int           // goes of this node begun since its last report, less those ended
 	Resting  bool          // it failed a go a moment ago
 }
 
@@ -59,20 +59,21 @@
 	restCost    = 4.0 // an engine that failed a go a moment ago
 )
 
-// Allowed is how many goes this node may have on an engine at once. A fresh
-// engine's few slots are dealt out over the fleet, so that all nodes together
-// do not flood it (section 5.5).
+// Allowed is how many more goes this node may begin at an engine until its next
+// report. What was free at the last one is dealt out over the fleet, so that all
+// nodes together neither fill an engine beyond its slots nor flood a fresh one,
+// whose slots grow over the ramp (section 5.5).
 func (v View) Allowed(s Server) int {
-	slots := max(s.Load.Slots, 1)
-	if v.Ramp <= 0 || s.Age >= v.Ramp {
-		return slots
+	total := max(s.Load.Slots, 1)
+	if v.Ramp > 0 && s.Age < v.Ramp {
+		total = max(1, int(float64(total)*float64(s.Age)/float64(v.Ramp)))
 	}
-	total := max(1, int(float64(slots)*float64(s.Age)/float64(v.Ramp)))
+	free := max(total-s.Load.Running-s.Load.Waiting, 0)
 	nodes := max(v.Nodes, 1)
-	share := total / nodes
-	// The rest goes to the nodes whose turn it is at this engine.
-	turn := (v.Rank + int(hash(s.Name)%uint64(nodes))) % nodes
-	if turn < total%nodes {
+	share := free / nodes
+	// The rest goes to the nodes whose turn it is; the turn moves with the load.
+	turn := (v.Rank + int(hash(s.Name)%uint64(nodes)) + s.Load.Running) % nodes
+	if turn < free%nodes {
 		share++
 	}
 	return share
@@ -102,9 +103,7 @@
 		return "role"
 	case !s.Seen:
 		return "silent"
-	case v.Ramp > 0 && s.Age < v.Ramp && s.Inflight >= v.Allowed(s):
-		return "fresh"
-	case s.Load.Running+s.Since >= max(s.Load.Slots, 1):
+	case s.Since >= v.Allowed(s):
 		return "full"
 	}
 	return ""
