--- a/bench/drill/drill_test.go
+++ b/bench/drill/drill_test.go
@@ -40,6 +40,10 @@
 		{fleet.Dakar(), callers.Dakar(), Control(2 * span)},
 		{fleet.Kettleby(), callers.Kettleby(), Rolling(2 * span)},
 		{fleet.Kettleby(), callers.Kettleby(), LoseAll(span)},
+		{fleet.Kettleby(), callers.Kettleby(), EngineTrouble(span)},
+		{fleet.Dakar(), callers.Dakar(), Freeze(2 * span)},
+		{fleet.Dakar(), callers.Dakar(), Operators(span)},
+		{fleet.Kettleby(), callers.Kettleby(), Crowd(span)},
 	} {
 		Convey(c.drill.Name+" on "+c.spec.Name+" breaks no never-line", t, func() {
 			r, err := Begin(c.spec, t.TempDir(), binary, testOut{t})
--- /dev/null
+++ b/bench/fleet/process_test.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// run runs the program to its end and gives its exit code and all it said.
+func run(binary string, args ...string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, binary, args...)
+	out, _ := cmd.CombinedOutput()
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func TestCommands(t *testing.T) {
+	folder := t.TempDir()
+	binary, err := Build(folder, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	Convey("faults of flags, settings and files exit with 2, each named with its place", t, func() {
+		good := string(DeskFile(Kettleby()))
+		for _, c := range []struct {
+			args []string
+			code int
+			says string
+		}{
+			{[]string{"check", write("good.json", good)}, 0, "sound: 1 pools, 2 desks"},
+			{[]string{"check", write("bad.json", strings.Replace(good, `"queue"`, `"cue"`, 1))}, 2, "desks[0].kinds[0].cue: is not a known key"},
+			{[]string{"check", "-json", write("bad.json", strings.Replace(good, `"queue"`, `"cue"`, 1))}, 2, `"sound":false`},
+			{[]string{"check", filepath.Join(folder, "none.json")}, 2, "no such file"},
+			{[]string{"check"}, 2, "linedrum check"},
+			{[]string{"apply", write("good.json", good)}, 2, "based-on"},
+			{[]string{"apply", "-based-on", "0", write("cut.json", "{")}, 2, "ends too early"},
+			{[]string{"apply", "-node", "127.0.0.1:1", "-based-on", "0", write("good.json", good)}, 4, "not known"},
+			{[]string{"zone", "-node", "127.0.0.1:1", "leave", "north"}, 2, "empty|in"},
+			{[]string{"status", "-node", "127.0.0.1:1"}, 1, "no reply"},
+			{[]string{"node"}, 2, "-settings"},
+			{[]string{"node", "-settings", write("s.json", `{"fleet":"f","listen":"nowhere","sight":"x"}`)}, 2, "sight: is not a known key"},
+			{[]string{"node", "-no-such-flag"}, 2, "no-such-flag"},
+			{[]string{"nonsense"}, 2, "node"},
+		} {
+			code, out := run(binary, c.args...)
+			SoMsg(fmt.Sprint(c.args)+": "+out, code, ShouldEqual, c.code)
+			SoMsg(fmt.Sprint(c.args)+": "+out, out, ShouldContainSubstring, c.says)
+		}
+	})
+	Convey("a running node: reloads, refusals of reloads, a data folder in use, a damaged disk", t, func() {
+		spec := Kettleby()
+		spec.Nodes, spec.Disks, spec.Engines = 1, 1, 0
+		f, err := New(spec, folder, binary)
+		So(err, ShouldBeNil)
+		defer f.Stop()
+		So(f.Start(), ShouldBeNil)
+		n := f.Nodes[0]
+		log := filepath.Join(folder, "node-0.log")
+		logged := func(event int) func() bool {
+			return func() bool {
+				b, _ := os.ReadFile(log)
+				return strings.Contains(string(b), fmt.Sprintf(`"event":%d`, event))
+			}
+		}
+		So(Await(10*time.Second, "the node has a permit", func() bool {
+			status, _, err := f.Call(n, http.MethodGet, "/healthz", nil)
+			return err == nil && status == 200
+		}), ShouldBeNil)
+
+		status, _, err := f.Apply(n, 0, "a", DeskFile(spec))
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, 200)
+		code, out := run(binary, "apply", "-node", n.HTTP, "-based-on", "0", filepath.Join(folder, "good.json"))
+		So(code, ShouldEqual, 3)
+		So(out, ShouldContainSubstring, "serial in force is 1")
+		code, out = run(binary, "apply", "-node", n.HTTP, "-outcome", "-id", "a")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "accepted as serial 1")
+		code, out = run(binary, "status", "-node", n.HTTP)
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, n.Listen)
+
+		old, err := os.ReadFile(n.Settings)
+		So(err, ShouldBeNil)
+		write(filepath.Base(n.Settings), strings.Replace(string(old), `"north"`, `"elsewhere"`, 1))
+		n.Signal(syscall.SIGHUP)
+		So(Await(10*time.Second, "the reload is refused", logged(505)), ShouldBeNil)
+		b, _ := os.ReadFile(log)
+		So(string(b), ShouldContainSubstring, "without a restart")
+		write(filepath.Base(n.Settings), strings.Replace(string(old), `"size": 1`, `"size": 2`, 1))
+		n.Signal(syscall.SIGHUP)
+		So(Await(10*time.Second, "the reload is taken", logged(504)), ShouldBeNil)
+
+		code, out = run(binary, "node", "-settings", n.Settings, "-listen", "127.0.0.1:9", "-http", "127.0.0.1:10")
+		So(code, ShouldNotEqual, 0)
+		So(out, ShouldNotContainSubstring, "panic")
+
+		n.Kill()
+		segments, _ := filepath.Glob(filepath.Join(n.Data, "*.seg"))
+		So(segments, ShouldNotBeEmpty)
+		text, err := os.ReadFile(segments[0])
+		So(err, ShouldBeNil)
+		text[30] ^= 0xff
+		So(os.WriteFile(segments[0], text, 0o644), ShouldBeNil)
+		So(f.StartNode(n), ShouldBeNil)
+		So(Await(10*time.Second, "the damage is reported", logged(203)), ShouldBeNil)
+		// Its only disk does not vote: the node lives, and serves nobody.
+		So(Await(10*time.Second, "the node is alive and not ready", func() bool {
+			status, body, err := f.Call(n, http.MethodGet, "/readyz", nil)
+			var out struct{ Ready bool }
+			_ = json.Unmarshal(body, &out)
+			return err == nil && status == http.StatusServiceUnavailable && !out.Ready
+		}), ShouldBeNil)
+	})
+}
--- a/node/control.go
+++ b/node/control.go
@@ -161,15 +161,16 @@
 	return n.core.OpID()
 }
 
-// fleetView is this node's place among the live ones, for dealing out shares.
+// fleetView is this node's place in the fleet, for dealing out shares. Departed
+// members count too, so that the parts of a split fleet agree on the places.
 func (n *Node) fleetView() (nodes, rank int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	alive := n.core.Member.Alive()
-	for i, e := range alive {
-		if e.Addr == n.core.Self() {
-			rank = i
+	for _, e := range append(n.core.Member.Alive(), n.core.Member.Departed()...) {
+		if e.Addr < n.settings.Listen {
+			rank++
 		}
+		nodes++
 	}
-	return max(len(alive), 1), rank
+	return max(nodes, 1), rank
 }
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -59,21 +59,31 @@
 	restCost    = 4.0 // an engine that failed a go a moment ago
 )
 
-// Allowed is how many more goes this node may begin at an engine until its next
-// report. What was free at the last one is dealt out over the fleet, so that all
-// nodes together neither fill an engine beyond its slots nor flood a fresh one,
-// whose slots grow over the ramp (section 5.5).
+// Allowed is how many more goes this node may begin at an engine now.
+//
+// What was free at the engine's last report is dealt out over the fleet, so that
+// all nodes together hardly fill it beyond its slots; where they do, since they
+// saw it at different moments, the engine refuses and nothing is lost. A fresh
+// engine is too fragile for that: its slots, which grow over the ramp, are dealt
+// out for good, whatever was reported (section 5.5).
 func (v View) Allowed(s Server) int {
 	total := max(s.Load.Slots, 1)
-	if v.Ramp > 0 && s.Age < v.Ramp {
+	fresh := v.Ramp > 0 && s.Age < v.Ramp
+	if fresh {
 		total = max(1, int(float64(total)*float64(s.Age)/float64(v.Ramp)))
 	}
-	free := max(total-s.Load.Running-s.Load.Waiting, 0)
+	more := v.deal(max(total-s.Load.Running-s.Load.Waiting, 0), s.Name, s.Load.Running) - s.Since
+	if fresh {
+		more = min(v.deal(total, s.Name, 0)-s.Inflight, max(more, total-s.Load.Running-s.Since))
+	}
+	return max(more, 0)
+}
+
+// deal gives this node its part of n, the odd ones by a turn that all nodes agree on.
+func (v View) deal(n int, name string, shift int) int {
 	nodes := max(v.Nodes, 1)
-	share := free / nodes
-	// The rest goes to the nodes whose turn it is; the turn moves with the load.
-	turn := (v.Rank + int(hash(s.Name)%uint64(nodes)) + s.Load.Running) % nodes
-	if turn < free%nodes {
+	share := n / nodes
+	if turn := (v.Rank + int(hash(name)%uint64(nodes)) + shift) % nodes; turn < n%nodes {
 		share++
 	}
 	return share
@@ -103,7 +113,7 @@
 		return "role"
 	case !s.Seen:
 		return "silent"
-	case s.Since >= v.Allowed(s):
+	case v.Allowed(s) == 0:
 		return "full"
 	}
 	return ""
--- a/pairing/pairing_test.go
+++ b/pairing/pairing_test.go
@@ -113,6 +113,17 @@
 				}
 				want := max(1, int(16*float64(age)/float64(10*time.Second)))
 				So(total, ShouldEqual, want)
+				// Whatever a report of another moment says, a node keeps to its part.
+				for rank := range nodes {
+					v := view()
+					v.Nodes, v.Rank = nodes, rank
+					part := v.Allowed(s)
+					for running := range 20 {
+						late := s
+						late.Load.Running, late.Inflight = running, part
+						So(v.Allowed(late), ShouldEqual, 0)
+					}
+				}
 			}
 		}
 	})
