Explain, plan, replay, and an offline check of data folders

Cause: nobody could see why a request went where it went, what a desk file would change before it is sent, or whether a stopped node's folder is sound. Before: status and logs.

--- a/bench/fleet/path_test.go
+++ b/bench/fleet/path_test.go
@@ -74,6 +74,13 @@
 		So(again.Status, ShouldEqual, 200)
 		So(again.Repeat, ShouldEqual, first.Request)
 		So(again.Text, ShouldEqual, first.Text)
+		for _, n := range f.Nodes {
+			// Whichever node is asked, the record is found where it is.
+			status, body, err := f.Call(n, http.MethodGet, "/linedrum/explain?id="+first.Request, nil)
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+			So(string(body), ShouldContainSubstring, f.Nodes[0].Listen)
+		}
 		status, body, _ := f.Apply(f.Nodes[0], 0, "second", DeskFile(spec))
 		So(status, ShouldEqual, http.StatusConflict)
 		So(string(body), ShouldContainSubstring, `"serial":1`)
--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -24,6 +24,7 @@
 	"linedrum.example/linedrum/bench/standin"
 	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/node"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/strict"
@@ -414,6 +415,51 @@
 	})
 }
 
+func TestExplained(t *testing.T) {
+	b := begin(t, swift(), nil)
+	Convey("every recorded decision is taken again alike, and an altered one is found", t, func() {
+		b.ask("checks", "check", "k", 3, false)
+		b.ask("checks", "check", "k", 3, false)
+		b.ask("people", "person", "", 3, true)
+		b.faults(standin.Faults{CutAfter: 1})
+		b.ask("people", "person", "", 3, false)
+		b.ask("checks", "check", "cut", 3, false)
+		b.faults(standin.Faults{})
+		lines := strings.Split(strings.TrimSpace(b.must(http.MethodGet, "/linedrum/records", "", 200)), "\n")
+		So(len(lines), ShouldBeGreaterThanOrEqualTo, 5)
+		total, altered := 0, 0
+		for _, line := range lines {
+			r, err := explain.Read([]byte(line))
+			So(err, ShouldBeNil)
+			n, diff := explain.Replay(r)
+			total += n
+			So(diff, ShouldBeEmpty)
+			if len(r.Moves) > 0 {
+				r.Moves[0].View.Permit = false
+				r.Moves[0].View.PermitSoon = false
+				_, diff = explain.Replay(r)
+				altered += len(diff)
+			}
+		}
+		So(total, ShouldBeGreaterThan, 10)
+		So(altered, ShouldBeGreaterThan, 0)
+	})
+	Convey("a request is explained by its id, and an unknown one is said to have no record", t, func() {
+		r := b.ask("people", "person", "", 2, false)
+		text := b.must(http.MethodGet, "/linedrum/explain?id="+r.Request, "", 200)
+		So(text, ShouldContainSubstring, `"writer":"e`)
+		So(b.must(http.MethodGet, "/linedrum/explain?id=nobody", "", 404), ShouldContainSubstring, "pruned")
+		b.must(http.MethodGet, "/linedrum/explain", "", 400)
+	})
+	Convey("damaged, partial and foreign records are refused", t, func() {
+		for _, line := range []string{``, `{`, `{"form":1}`, `{"form":9,"request":"x"}`, `{"form":1,"request":"x","goes":[{"phase":"nap","verdict":"ran"}]}`,
+			`{"form":1,"request":"x","goes":[{"phase":"decode","verdict":"perhaps"}]}`, `{"form":1,"request":"x","moves":[{"goes":4}]}`} {
+			_, err := explain.Read([]byte(line))
+			SoMsg(line, err, ShouldNotBeNil)
+		}
+	})
+}
+
 func TestPlannedStop(t *testing.T) {
 	b := begin(t, swift(), nil)
 	Convey("what was read is finished, and the connection is closed right after its last byte", t, func() {
--- a/cmd/linedrum/main.go
+++ b/cmd/linedrum/main.go
@@ -25,6 +25,10 @@
 	subcommands.Register(&applyCommand{}, "operators")
 	subcommands.Register(&zoneCommand{}, "operators")
 	subcommands.Register(&statusCommand{}, "operators")
+	subcommands.Register(&explainCommand{}, "operators")
+	subcommands.Register(&planCommand{}, "operators")
+	subcommands.Register(&replayCommand{}, "operators")
+	subcommands.Register(&dataCommand{}, "operators")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/node/engines.go
+++ b/node/engines.go
@@ -8,6 +8,7 @@
 
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/roles"
 )
@@ -104,7 +105,11 @@
 	v := pairing.View{
 		Pool: pool, Site: t.site, Empty: t.picture.Sites.Empty, Prefix: prefix, Ramp: t.ramp,
 		Nodes: t.nodes, Rank: t.rank,
-		Slow: func(reader, writer string) float64 { return t.costNow([2]string{reader, writer}, now) },
+	}
+	for key := range t.slow {
+		if cost := t.costNow(key, now); cost > 0.01 {
+			v.Slow = append(v.Slow, pairing.Link{Reader: key[0], Writer: key[1], Cost: cost})
+		}
 	}
 	if t.picture.Desk != nil {
 		if p, ok := t.picture.Desk.Pool(pool); ok {
@@ -115,26 +120,30 @@
 }
 
 // reserve nominates a pair and counts it as in flight.
-func (t *engines) reserve(pool, prefix string, now time.Duration) (pairing.Pair, bool) {
+func (t *engines) reserve(pool, prefix string, now time.Duration) (pairing.Pair, explain.Nomination, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	pair, ok := t.view(pool, prefix, now).Nominate(t.list(now))
+	n := explain.Nomination{View: t.view(pool, prefix, now), Servers: t.list(now)}
+	pair, ok := n.View.Nominate(n.Servers)
 	if ok {
+		n.Reader, n.Writer, n.Readers, n.Writers = pair.Reader.Name, pair.Writer.Name, pair.Readers, pair.Writers
 		t.begin(pair.Reader.Name)
 		t.begin(pair.Writer.Name)
 	}
-	return pair, ok
+	return pair, n, ok
 }
 
 // reserveWriter nominates another writer for memory that lies at a reader.
-func (t *engines) reserveWriter(pool string, reader pairing.Server, now time.Duration) (pairing.Server, bool) {
+func (t *engines) reserveWriter(pool string, reader pairing.Server, now time.Duration) (pairing.Server, explain.Nomination, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.view(pool, "", now).Writer(t.list(now), reader)
+	n := explain.Nomination{View: t.view(pool, "", now), Servers: t.list(now), Again: reader.Name, Reader: reader.Name}
+	s, ok := n.View.Writer(n.Servers, reader)
 	if ok {
+		n.Writer = s.Name
 		t.begin(s.Name)
 	}
-	return s, ok
+	return s, n, ok
 }
 
 func (t *engines) begin(name string) {
--- a/node/front.go
+++ b/node/front.go
@@ -80,6 +80,8 @@
 	r.Put("/linedrum/engines", f.putEngines)
 	r.Get("/linedrum/engines", f.getEngines)
 	r.Post("/linedrum/sites", f.postSites)
+	r.Get("/linedrum/explain", f.explain)
+	r.Get("/linedrum/records", f.records)
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		f.fail(w, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusNotFound, Code: "no-such-path", Reason: "there is nothing at this path"})
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/link"
@@ -55,6 +56,8 @@
 	client  *engine.Client
 	front   *front
 	budget  *ledger.Budget // under mu
+	book    *explain.Book
+	asks    map[uint64]*asking // explanations asked of the cohort, under mu
 }
 
 // newRand seeds from the system: ask numbers must differ from those of this
@@ -67,7 +70,7 @@
 
 // Start brings a node up; Stop takes it down.
 func Start(s settings.Settings, log *event.Log) (_ *Node, err error) {
-	n := &Node{settings: s, log: log, rand: newRand(), planner: map[string]*roles.Planner{}}
+	n := &Node{settings: s, log: log, rand: newRand(), planner: map[string]*roles.Planner{}, book: explain.NewBook(keptRecords), asks: map[uint64]*asking{}}
 	defer func() {
 		if err != nil {
 			n.cleanup.Run()
@@ -168,7 +171,14 @@
 func (h handler) Frame(m register.Message, c wire.Cohort) {
 	h.n.mu.Lock()
 	defer h.n.mu.Unlock()
-	h.n.core.Frame(m, c)
+	switch m.Kind {
+	case register.KindExplain:
+		h.n.explainTo(m)
+	case register.KindExplained:
+		h.n.explained(m)
+	default:
+		h.n.core.Frame(m, c)
+	}
 }
 
 func (h handler) BadFrame(from string, err error) {
--- a/node/serve.go
+++ b/node/serve.go
@@ -18,6 +18,7 @@
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/once"
 	"linedrum.example/linedrum/pairing"
@@ -64,6 +65,7 @@
 	reading bool // the reader is reserved
 	writing bool // the writer is reserved
 	arrived time.Duration
+	why     explain.Record // for whoever asks why it went where it went
 	repeats int
 	memory  json.RawMessage // kv_transfer_params of the prefill
 	reply   []byte
@@ -114,7 +116,7 @@
 		f.fail(w, fault)
 		return
 	}
-	q := &request{n: f.n, f: f, w: w, ctx: r.Context(), id: id}
+	q := &request{n: f.n, f: f, w: w, ctx: r.Context(), id: id, arrived: f.n.clock.Now()}
 	if fault := q.read(r, body); fault != nil {
 		f.fail(w, fault)
 		q.ended(fault)
@@ -169,6 +171,7 @@
 		patience = min(patience, time.Duration(ms)*time.Millisecond)
 	}
 	q.ledger.Expiry = q.n.clock.Now() + patience
+	q.why.Serials = explain.Serials{Desk: picture.DeskSerial, Engines: picture.Engines.Serial, Sites: picture.SiteSerial, Roles: picture.Roles[d.Pool].Fence}
 	q.prefix = q.ask.Prompt[:min(len(q.ask.Prompt), prefixLength)]
 	key := r.Header.Get(headerOnce)
 	switch {
@@ -195,12 +198,13 @@
 // run takes moves until the request has its reply (section 5.1).
 func (q *request) run() {
 	defer q.release()
-	q.arrived = q.n.clock.Now()
 	q.n.mu.Lock()
 	q.n.budget.Real(q.arrived)
 	q.n.mu.Unlock()
 	for {
-		move := q.ledger.Next(q.look())
+		view := q.look()
+		move := q.ledger.Next(view)
+		q.noteMove(view, move)
 		switch move.Step {
 		case ledger.StepClaim:
 			if full, comeBack := q.n.gate.Full(q.line(), q.kind.Queue); full {
@@ -255,6 +259,16 @@
 	}
 }
 
+// noteMove keeps a decision for explaining; a long wait is kept once.
+func (q *request) noteMove(view ledger.View, move ledger.Move) {
+	m := explain.Move{Goes: len(q.ledger.Goes), Claim: q.ledger.Claim, FirstByte: q.ledger.FirstByte, View: view, Move: move}
+	if n := len(q.why.Moves); n > 0 && q.why.Moves[n-1].Move == move && move.Step == ledger.StepWait {
+		q.why.Moves[n-1] = m
+		return
+	}
+	q.why.Moves = append(q.why.Moves, m)
+}
+
 // look is the ledger's view of the world now.
 func (q *request) look() ledger.View {
 	now := q.n.clock.Now()
@@ -343,15 +357,17 @@
 func (q *request) reserve() bool {
 	now := q.n.clock.Now()
 	if q.memory != nil {
-		s, ok := q.n.engines.reserveWriter(q.pool, q.pair.Reader, now)
+		s, nomination, ok := q.n.engines.reserveWriter(q.pool, q.pair.Reader, now)
 		if ok {
 			q.pair.Writer, q.writing = s, true
+			q.why.Pairs = append(q.why.Pairs, nomination)
 		}
 		return ok
 	}
-	pair, ok := q.n.engines.reserve(q.pool, q.prefix, now)
+	pair, nomination, ok := q.n.engines.reserve(q.pool, q.prefix, now)
 	if ok {
 		q.pair, q.reading, q.writing = pair, true, true
+		q.why.Pairs = append(q.why.Pairs, nomination)
 	}
 	return ok
 }
@@ -643,4 +659,9 @@
 	}
 	q.n.log.Say(number, event.Fields{"request": q.id, "desk": e.Desk, "status": e.Status, "verdict": e.Verdict, "code": e.Code, "goes": e.Goes})
 	q.n.bus.Publish(bus.TopicRequest, e)
+	q.why.Form, q.why.Request, q.why.Node, q.why.Desk, q.why.Kind, q.why.Pool = explain.Form, q.id, q.n.settings.Listen, e.Desk, e.Kind, q.pool
+	q.why.Once, q.why.Stream, q.why.Repeat = q.ledger.Once, q.ask.Stream, q.ledger.Claim == ledger.ClaimTaken && fault == nil
+	q.why.Arrived, q.why.Expiry, q.why.Ended, q.why.Goes = q.arrived, q.ledger.Expiry, q.n.clock.Now(), q.ledger.Goes
+	q.why.Status, q.why.Verdict, q.why.Code = e.Status, e.Verdict, e.Code
+	q.n.book.Add(q.why)
 }
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -33,8 +33,23 @@
 	Ramp     time.Duration
 	Nodes    int // of the fleet
 	Rank     int // this node's place among them
-	// Slow is the extra cost of the link between two engines, from hand-overs seen.
-	Slow func(reader, writer string) float64
+	// Slow is the extra cost of links between engines, from hand-overs seen.
+	Slow []Link
+}
+
+// Link is what the way from one engine to another costs on top.
+type Link struct {
+	Reader, Writer string
+	Cost           float64
+}
+
+func (v View) slow(reader, writer string) float64 {
+	for _, l := range v.Slow {
+		if l.Reader == reader && l.Writer == writer {
+			return l.Cost
+		}
+	}
+	return 0
 }
 
 // Score is what one engine came to, for explaining.
@@ -212,9 +227,7 @@
 		if s.Site != reader.Site {
 			score += v.SiteCost
 		}
-		if v.Slow != nil {
-			score += v.Slow(reader.Name, s.Name)
-		}
+		score += v.slow(reader.Name, s.Name)
 		scores = append(scores, Score{s.Name, score, ""})
 		if found.Name == "" || score < best {
 			best, found = score, s
--- a/register/message.go
+++ b/register/message.go
@@ -68,6 +68,8 @@
 	KindCells
 	KindCopy // membership: bulk table copy
 	KindTable
+	KindExplain // who has the record of this request
+	KindExplained
 	kindEnd
 )
 
--- a/wal/folder.go
+++ b/wal/folder.go
@@ -22,7 +22,19 @@
 	if err := os.MkdirAll(path, 0o755); err != nil {
 		return nil, errors.Trace(err)
 	}
-	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
+	made, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	_ = made.Close()
+	return LockFolder(path)
+}
+
+const lockFile = "lock"
+
+// LockFolder locks a data folder that is there, and makes nothing.
+func LockFolder(path string) (*Folder, error) {
+	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_RDWR, 0o644)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -54,6 +54,7 @@
 	Segments int
 	Torn     int64 // bytes cut off the end of the last segment
 	TornFile string
+	tornAt   int64
 }
 
 type waiting struct {
@@ -94,13 +95,48 @@
 	return n, err == nil
 }
 
+// Inspect replays a folder and changes nothing. A torn tail is reported.
+func Inspect(files Files, replay func(record []byte) error) (Report, error) {
+	report, _, err := read(files, replay)
+	return report, err
+}
+
 // Open replays a folder into replay and makes a log that goes on behind it.
 // Records waiting beyond limit bytes make Busy true.
 func Open(files Files, limit int, replay func(record []byte) error) (*Log, Report, error) {
-	var report Report
+	report, last, err := read(files, replay)
+	if err != nil {
+		return nil, report, err
+	}
 	names, err := files.List()
 	if err != nil {
-		return nil, report, errors.Annotate(err, "data folder")
+		return nil, report, errors.Trace(err)
+	}
+	for _, file := range names {
+		if strings.HasSuffix(file, ".tmp") {
+			if err := files.Remove(file); err != nil {
+				return nil, report, errors.Trace(err)
+			}
+		}
+	}
+	if report.Torn > 0 {
+		if err := files.Truncate(report.TornFile, report.tornAt); err != nil {
+			return nil, report, errors.Trace(err)
+		}
+	}
+	l := &Log{files: files, limit: limit, wake: make(chan struct{}, 1), segment: last}
+	if err := l.nextSegment(); err != nil {
+		return nil, report, errors.Trace(err)
+	}
+	return l, report, nil
+}
+
+// read replays the newest picture and the segments from there on, and says
+// which segment is the last.
+func read(files Files, replay func(record []byte) error) (report Report, last uint64, err error) {
+	names, err := files.List()
+	if err != nil {
+		return report, 0, errors.Annotate(err, "data folder")
 	}
 	var segments, pictures []uint64
 	for _, file := range names {
@@ -110,69 +146,56 @@
 		if n, ok := number(file, "pic"); ok {
 			pictures = append(pictures, n)
 		}
-		if strings.HasSuffix(file, ".tmp") {
-			if err := files.Remove(file); err != nil {
-				return nil, report, errors.Trace(err)
-			}
-		}
 	}
 	sort.Slice(segments, func(i, j int) bool { return segments[i] < segments[j] })
 	sort.Slice(pictures, func(i, j int) bool { return pictures[i] < pictures[j] })
-	from := uint64(0)
+	each := func(r []byte) error { report.Records++; return replay(r) }
 	if len(pictures) > 0 {
-		from = pictures[len(pictures)-1]
-		b, err := files.Read(name(from, "pic"))
+		last = pictures[len(pictures)-1]
+		b, err := files.Read(name(last, "pic"))
 		if err != nil {
-			return nil, report, errors.Trace(err)
+			return report, 0, errors.Trace(err)
 		}
 		// A picture is renamed into place only once synced, so a torn one is damage.
-		_, whole, err := scan(b, func(r []byte) error { report.Records++; return replay(r) })
+		_, whole, err := scan(b, each)
 		if err != nil {
-			return nil, report, errors.Trace(err)
+			return report, 0, errors.Trace(err)
 		}
 		if !whole || len(b) == 0 {
-			return nil, report, errors.Annotatef(ErrDamaged, "picture %s", name(from, "pic"))
+			return report, 0, errors.Annotatef(ErrDamaged, "picture %s", name(last, "pic"))
 		}
 	}
-	last := from
 	var live []uint64
 	for _, n := range segments {
-		if n >= from {
+		if n >= last {
 			live = append(live, n)
 		}
 	}
-	if len(pictures) > 0 && (len(live) == 0 || live[0] != from) {
-		return nil, report, errors.Annotatef(ErrDamaged, "segment %s is missing", name(from, "seg"))
+	if len(pictures) > 0 && (len(live) == 0 || live[0] != last) {
+		return report, 0, errors.Annotatef(ErrDamaged, "segment %s is missing", name(last, "seg"))
 	}
 	for i, n := range live {
 		if i > 0 && n != live[i-1]+1 {
-			return nil, report, errors.Annotatef(ErrDamaged, "segment %s is missing", name(live[i-1]+1, "seg"))
+			return report, 0, errors.Annotatef(ErrDamaged, "segment %s is missing", name(live[i-1]+1, "seg"))
 		}
 		b, err := files.Read(name(n, "seg"))
 		if err != nil {
-			return nil, report, errors.Trace(err)
+			return report, 0, errors.Trace(err)
 		}
 		report.Segments++
-		good, whole, err := scan(b, func(r []byte) error { report.Records++; return replay(r) })
+		good, whole, err := scan(b, each)
 		if err != nil {
-			return nil, report, errors.Trace(err)
+			return report, 0, errors.Trace(err)
 		}
 		if !whole {
 			if i != len(live)-1 || validAfter(b, good) {
-				return nil, report, errors.Annotatef(ErrDamaged, "segment %s at byte %d", name(n, "seg"), good)
-			}
-			report.Torn, report.TornFile = int64(len(b)-good), name(n, "seg")
-			if err := files.Truncate(name(n, "seg"), int64(good)); err != nil {
-				return nil, report, errors.Trace(err)
+				return report, 0, errors.Annotatef(ErrDamaged, "segment %s at byte %d", name(n, "seg"), good)
 			}
+			report.Torn, report.TornFile, report.tornAt = int64(len(b)-good), name(n, "seg"), int64(good)
 		}
 		last = n
 	}
-	l := &Log{files: files, limit: limit, wake: make(chan struct{}, 1), segment: last}
-	if err := l.nextSegment(); err != nil {
-		return nil, report, errors.Trace(err)
-	}
-	return l, report, nil
+	return report, last, nil
 }
 
 // scan reads blocks until the end or the first bad one, and says where that is.
