--- a/bench/cmd/linedrum-bench/main.go
+++ b/bench/cmd/linedrum-bench/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&demoCommand{}, "")
 	subcommands.Register(&drillCommand{}, "")
+	subcommands.Register(&measureCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
