Rules: desks and kinds matched by CEL expressions, checked and bounded

Before: a request had to name its desk and kind. After: a file may say by expressions where requests go that name none; types are checked offline, cost is bounded, and an expression that fails at run time bounces. Ruled out: matching on the prompt's text, which would read every prompt twice.

--- a/desk/desk.go
+++ b/desk/desk.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"regexp"
 
+	"cel.dev/cel-go/cel"
+
 	"linedrum.example/linedrum/strict"
 )
 
@@ -15,6 +17,9 @@
 type File struct {
 	Pools []Pool `json:"pools" need:"yes" min:"1" max:"64"`
 	Desks []Desk `json:"desks" need:"yes" min:"1" max:"4096"`
+	Rules []Rule `json:"rules,omitempty" max:"256"`
+
+	programs map[string]cel.Program // of every expression in the file
 }
 
 // Pool is a set of engines by name, and how it is to be split in roles.
@@ -42,6 +47,7 @@
 	Once      string          `json:"once" any:"required allowed never"`
 	MaxTokens int             `json:"max_tokens" min:"1" max:"1000000"`
 	Share     int             `json:"share" min:"1" max:"100"` // turns in the queue beside other kinds
+	When      string          `json:"when" max:"2000"`         // which requests are of this kind when they name none
 }
 
 // The three answers to whether a kind's requests are once-only.
@@ -61,6 +67,7 @@
 	f.fill()
 	if len(faults) == 0 {
 		f.check(&faults)
+		f.compileRules(&faults)
 	}
 	if len(faults) > 0 {
 		return nil, faults
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -76,6 +77,61 @@
 	})
 }
 
+const ruled = `{"pools":[{"name":"p"}],
+ "rules":[{"when":"user.startsWith('vip') && prompt_chars > 10","desk":"d","kind":"b"},{"when":"model == 'any' && 100 / max_tokens > 5","desk":"e"}],
+ "desks":[{"name":"d","pool":"p","kinds":[{"name":"a","expiry":"8s","queue":4,"when":"stream"},{"name":"b","expiry":"8s","queue":4,"when":"!stream"}]},
+  {"name":"e","pool":"p","kinds":[{"name":"k","expiry":"8s","queue":4}]}]}`
+
+func TestRules(t *testing.T) {
+	f, faults := Parse([]byte(ruled))
+	Convey("a model that names a desk is that desk; else the first rule that holds; kinds by their own expressions", t, func() {
+		So(faults, ShouldBeEmpty)
+		for _, c := range []struct {
+			facts      Facts
+			desk, kind string
+		}{
+			{Facts{Model: "d", Stream: true}, "d", "a"},
+			{Facts{Model: "d"}, "d", "b"},
+			{Facts{Model: "d", Kind: "a"}, "d", "a"},
+			{Facts{Model: "e", User: "vip1", PromptChars: 50}, "e", "k"},
+			{Facts{Model: "x", User: "vip1", PromptChars: 50}, "d", "b"},
+			{Facts{Model: "any", MaxTokens: 3}, "e", "k"},
+		} {
+			d, k, err := f.Match(c.facts)
+			So(err, ShouldBeNil)
+			So(d.Name+"/"+k.Name, ShouldEqual, c.desk+"/"+c.kind)
+		}
+		_, _, err := f.Match(Facts{Model: "x", MaxTokens: 3})
+		So(err, ShouldNotBeNil)
+		So(errors.Is(err, ErrRule), ShouldBeFalse)
+	})
+	Convey("a rule that fails at run time is an error of its own, never another desk", t, func() {
+		_, _, err := f.Match(Facts{Model: "any", MaxTokens: 0})
+		So(errors.Is(err, ErrRule), ShouldBeTrue)
+	})
+	Convey("an expression that costs too much fails too", t, func() {
+		costly := strings.Replace(ruled, "user.startsWith('vip') && prompt_chars > 10", "user.matches('(a|b|c|d)*x') || user.contains('y') || user.contains('z')", 1)
+		g, faults := Parse([]byte(costly))
+		So(faults, ShouldBeEmpty)
+		_, _, err := g.Match(Facts{Model: "x", User: strings.Repeat("abcd", 100_000)})
+		So(errors.Is(err, ErrRule), ShouldBeTrue)
+	})
+	Convey("check faults expressions with their place", t, func() {
+		for _, c := range []struct{ from, to, place string }{
+			{"prompt_chars > 10", "prompt_chars > 'x'", "rules[0].when"},
+			{"prompt_chars > 10", "colour == 1", "rules[0].when"},
+			{"user.startsWith('vip') && prompt_chars > 10", "max_tokens", "rules[0].when"},
+			{`"kind":"b"}`, `"kind":"z"}`, "rules[0].kind"},
+			{`"desk":"e"}`, `"desk":"z"}`, "rules[1].desk"},
+			{`"when":"stream"`, `"when":"stream ="`, "desks[0].kinds[0].when"},
+		} {
+			_, faults := Parse([]byte(strings.Replace(ruled, c.from, c.to, 1)))
+			So(len(faults), ShouldBeGreaterThan, 0)
+			So(faults[0].Place, ShouldEqual, c.place)
+		}
+	})
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(sound))
 	f.Add([]byte(`{"pools":[[[[`))
--- a/node/serve.go
+++ b/node/serve.go
@@ -144,7 +144,16 @@
 		}
 		return bounce("no-desk-file", "no desk file is in force", 2*time.Second)
 	}
-	d, k, err := picture.Desk.Find(q.ask.Model, r.Header.Get(headerKind))
+	d, k, err := picture.Desk.Match(desk.Facts{
+		Model: q.ask.Model, Kind: r.Header.Get(headerKind), User: q.ask.User, PromptChars: len(q.ask.Prompt),
+		MaxTokens: q.ask.MaxTokens, Stream: q.ask.Stream, Keyed: r.Header.Get(headerOnce) != "",
+	})
+	if errors.Is(err, desk.ErrRule) {
+		if r.Header.Get(headerOnce) != "" {
+			return q.unclear("rule-failed", "a rule of the desk file failed; this call reached no engine, an earlier one with this key may have")
+		}
+		return bounce("rule-failed", "a rule of the desk file failed", 2*time.Second)
+	}
 	if err != nil {
 		field, status := headerKind, http.StatusBadRequest
 		if d.Name == "" {
