Rival holders of one duty wait longer each time

Cause: under an asymmetric cut two nodes can both be the nearest in their own tables; each would write the role table anew every 250 ms to have it under an epoch of its own. Safe by the fence, but control would go back and forth. Ruled out: trusting either table; neither is wrong by what it hears.

--- a/core/duty.go
+++ b/core/duty.go
@@ -87,3 +87,33 @@
 	}
 	c.Member.Leave()
 }
+
+// Rivalry keeps two nodes that both believe in their duty, as under an
+// asymmetric cut, from taking a key from each other again and again: whoever
+// lost it without having named a successor waits, longer each time.
+type Rivalry struct {
+	mine bool
+	lost time.Duration
+	wait time.Duration
+}
+
+// MayTake is asked at each look at the key: holder tells whether it stands under
+// this node's epoch.
+func (r *Rivalry) MayTake(holder bool, now, holdDown time.Duration) bool {
+	switch {
+	case holder:
+		if r.wait > 0 && now-r.lost > 32*holdDown {
+			r.wait = 0
+		}
+		r.mine = true
+		return true
+	case r.mine:
+		r.mine, r.lost = false, now
+		r.wait = min(max(2*r.wait, holdDown), 16*holdDown)
+	}
+	if r.wait > 0 && now-r.lost < r.wait {
+		return false
+	}
+	r.mine = true // it is taken now; a try that fails counts as a loss
+	return true
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -50,7 +50,16 @@
 	next, changed := planner.Plan(now, table.Roles, n.engines.states(pool.Name, now), pool.MinPrefill, pool.MinDecode)
 	// Orders go out under an epoch of this node's own: taking the duty over writes
 	// the table anew, so that the former holder's orders are stale from then on.
-	if changed || len(next) > 0 && cell.Epoch.Holder != n.core.Self() {
+	holder := cell.Epoch.Holder == n.core.Self()
+	rival := n.rivals[key]
+	if rival == nil {
+		rival = &core.Rivalry{}
+		n.rivals[key] = rival
+	}
+	if !rival.MayTake(holder, now, n.core.HoldDown()) {
+		return
+	}
+	if changed || len(next) > 0 && !holder {
 		value, err := json.Marshal(engine.RoleTable{Roles: next})
 		if err != nil {
 			panic(err) // a map of texts always encodes
--- a/node/node.go
+++ b/node/node.go
@@ -49,7 +49,8 @@
 	disk    *wal.Log
 	folder  *wal.Folder
 	picture Picture
-	planner map[string]*roles.Planner
+	planner map[string]*roles.Planner // of the duties' own goroutine
+	rivals  map[string]*core.Rivalry  // of the duties' own goroutine
 
 	engines *engines
 	gate    *gate.Gate
@@ -70,7 +71,7 @@
 
 // Start brings a node up; Stop takes it down.
 func Start(s settings.Settings, log *event.Log) (_ *Node, err error) {
-	n := &Node{settings: s, log: log, rand: newRand(), planner: map[string]*roles.Planner{}, book: explain.NewBook(keptRecords), asks: map[uint64]*asking{}}
+	n := &Node{settings: s, log: log, rand: newRand(), planner: map[string]*roles.Planner{}, rivals: map[string]*core.Rivalry{}, book: explain.NewBook(keptRecords), asks: map[uint64]*asking{}}
 	defer func() {
 		if err != nil {
 			n.cleanup.Run()
