Digests and ranges are kept up, not made anew under the core lock

Cause: each comparison of two disks walked and sorted every key under the core lock, and a new disk asks for up to 1024 ranges.

--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"encoding/binary"
 	"hash/fnv"
 	"sort"
 	"strings"
@@ -38,6 +39,8 @@
 	set      quorum.Set
 	pledge   quorum.Set
 	slots    map[string]*slot
+	ranges   [Ranges]map[string]*slot // the same slots, by range
+	digests  [Ranges]uint64           // kept up with every cell
 	floor    uint64
 	failed   bool
 }
@@ -69,7 +72,7 @@
 		if s.promised.Less(rec.Epoch) {
 			s.promised = rec.Epoch
 		}
-		s.cell = rec.Cell
+		a.put(rec.Key, s, rec.Cell)
 	case KindSet:
 		a.set = rec.Set
 	case KindPledge:
@@ -77,7 +80,11 @@
 	case KindPrune:
 		a.floor = max(a.floor, rec.Floor)
 		for _, kc := range rec.Cells {
-			delete(a.slots, kc.Key)
+			if s := a.slots[kc.Key]; s != nil {
+				a.put(kc.Key, s, Cell{})
+				delete(a.slots, kc.Key)
+				delete(a.ranges[rangeOf(kc.Key)], kc.Key)
+			}
 		}
 	}
 }
@@ -103,20 +110,34 @@
 	return out
 }
 
-func (a *Acceptor) keys() []string {
-	out := make([]string, 0, len(a.slots))
-	for key := range a.slots {
+func (a *Acceptor) keys() []string { return sortedKeys(a.slots) }
+
+func sortedKeys(slots map[string]*slot) []string {
+	out := make([]string, 0, len(slots))
+	for key := range slots {
 		out = append(out, key)
 	}
 	sort.Strings(out)
 	return out
 }
 
+// put replaces a cell and keeps its range's digest up.
+func (a *Acceptor) put(key string, s *slot, cell Cell) {
+	at := rangeOf(key)
+	a.digests[at] ^= digest(key, s.cell) ^ digest(key, cell)
+	s.cell = cell
+}
+
 func (a *Acceptor) slot(key string) *slot {
 	s := a.slots[key]
 	if s == nil {
 		s = &slot{}
 		a.slots[key] = s
+		at := rangeOf(key)
+		if a.ranges[at] == nil {
+			a.ranges[at] = map[string]*slot{}
+		}
+		a.ranges[at][key] = s
 	}
 	s.touched = a.clock.Now()
 	return s
@@ -185,9 +206,9 @@
 		a.barrier(out, reply)
 	case KindRange:
 		out.Kind, out.Yes, out.Range = KindCells, true, in.Range
-		for _, key := range a.keys() {
-			if rangeOf(key) == in.Range && a.slots[key].cell.Serial > 0 {
-				out.Cells = append(out.Cells, KeyCell{Key: key, Cell: a.slots[key].cell})
+		for _, key := range sortedKeys(a.ranges[in.Range%Ranges]) {
+			if cell := a.slots[key].cell; cell.Serial > 0 {
+				out.Cells = append(out.Cells, KeyCell{Key: key, Cell: cell})
 			}
 		}
 		a.barrier(out, reply)
@@ -246,7 +267,8 @@
 		return
 	}
 	s = a.slot(in.Key)
-	s.promised, s.cell = in.Epoch, in.Cell
+	s.promised = in.Epoch
+	a.put(in.Key, s, in.Cell)
 	a.log.Append(Message{Kind: KindAccept, Key: in.Key, Epoch: in.Epoch, Cell: in.Cell}, a.then(out, reply))
 }
 
@@ -336,24 +358,21 @@
 }
 
 // Digests sums up the cells of each range; equal ranges have equal digests.
-func (a *Acceptor) Digests() []uint64 {
-	out := make([]uint64, Ranges)
-	for key, s := range a.slots {
-		if s.cell.Serial == 0 {
-			continue
-		}
-		h := fnv.New64a()
-		for _, part := range []string{key, s.cell.Epoch.Holder, s.cell.Op} {
-			_, _ = h.Write([]byte(part))
-			_, _ = h.Write([]byte{0})
-		}
-		var num [16]byte
-		for i := 0; i < 8; i++ {
-			num[i] = byte(s.cell.Epoch.Count >> (8 * i))
-			num[8+i] = byte(s.cell.Serial >> (8 * i))
-		}
-		_, _ = h.Write(num[:])
-		out[rangeOf(key)] ^= h.Sum64()
+func (a *Acceptor) Digests() []uint64 { return append([]uint64(nil), a.digests[:]...) }
+
+// digest of one cell with its key; nothing at all has none.
+func digest(key string, cell Cell) uint64 {
+	if cell.Serial == 0 {
+		return 0
 	}
-	return out
+	h := fnv.New64a()
+	for _, part := range []string{key, cell.Epoch.Holder, cell.Op} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	var num [16]byte
+	binary.LittleEndian.PutUint64(num[:8], cell.Epoch.Count)
+	binary.LittleEndian.PutUint64(num[8:], cell.Serial)
+	_, _ = h.Write(num[:])
+	return h.Sum64()
 }
--- a/register/acceptor_test.go
+++ b/register/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,42 @@
 		So(say(again, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(6, "z")}).Cell.Serial, ShouldEqual, 2)
 	})
 }
+
+func TestDigests(t *testing.T) {
+	Convey("equal cells have equal digests, whatever way they came; a forgotten key leaves none", t, func() {
+		clock := &hand{}
+		one, other := formed(&disk{}, clock), formed(&disk{}, clock)
+		cells := map[string]Cell{}
+		for i := range 200 {
+			key := fmt.Sprintf("%sk%d", PassingPrefix, i)
+			cells[key] = Cell{Epoch: epoch(2, "h"), Serial: 2, Op: key}
+			say(one, Message{Kind: KindAccept, Key: key, Epoch: epoch(1, "h"), Cell: Cell{Epoch: epoch(1, "h"), Serial: 1}})
+			say(one, Message{Kind: KindAccept, Key: key, Epoch: epoch(2, "h"), Cell: cells[key]})
+		}
+		So(other.Digests(), ShouldNotResemble, one.Digests())
+		for i := range uint32(Ranges) {
+			for _, kc := range say(one, Message{Kind: KindRange, Range: i}).Cells {
+				So(kc.Cell, ShouldResemble, cells[kc.Key])
+				So(other.Mend(kc, false), ShouldBeTrue)
+			}
+		}
+		So(other.Digests(), ShouldResemble, one.Digests())
+		clock.now = 2 * time.Minute
+		So(one.Prune(), ShouldEqual, 200)
+		So(one.Digests(), ShouldResemble, make([]uint64, Ranges))
+		So(say(one, Message{Kind: KindRange, Range: rangeOf(PassingPrefix + "k1")}).Cells, ShouldBeEmpty)
+	})
+}
+
+// BenchmarkRange is one range of a disk that holds ten minutes of checks.
+func BenchmarkRange(b *testing.B) {
+	a := formed(&disk{}, &hand{})
+	for i := range 21_000 {
+		key := fmt.Sprintf("%sk%d", PassingPrefix, i)
+		say(a, Message{Kind: KindAccept, Key: key, Epoch: epoch(1, "h"), Cell: Cell{Epoch: epoch(1, "h"), Serial: 1, Value: make([]byte, 200)}})
+	}
+	for b.Loop() {
+		say(a, Message{Kind: KindDigest})
+		say(a, Message{Kind: KindRange, Range: 7})
+	}
+}
