Pictures are written in blocks with an end mark, and packed off the core lock

Cause: a picture was one block, and a disk with more than 64 MiB of state would have written one that it could not read again, after removing the segments before it; and packing held the core lock for as long as it took. Before: a 70 MiB picture was damage at the next start. After: it is read whole, and cut short anywhere, even between blocks, it is damage and never a smaller state.

--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -461,6 +462,38 @@
 	})
 }
 
+func TestManyDesks(t *testing.T) {
+	b := begin(t, swift(), nil)
+	Convey("a desk file that grows to thousands of desks is taken again and again, the log is cut, and a restart finds it all", t, func() {
+		var many strings.Builder
+		for i := range 3000 {
+			fmt.Fprintf(&many, `,{"name":"extra-%d","pool":"p","model":%q,"kinds":[{"name":"k","expiry":"8s","queue":4}]}`, i, strings.Repeat("m", 120))
+		}
+		large := strings.TrimSuffix(desks, "]}") + many.String() + "]}"
+		for serial := 1; serial <= 16; serial++ {
+			b.must(http.MethodPut, fmt.Sprintf("/linedrum/desk?based_on=%d&id=many-%d", serial, serial), large, http.StatusOK)
+		}
+		pictures := func() int {
+			found, _ := filepath.Glob(filepath.Join(b.s.Data, "*.pic"))
+			return len(found)
+		}
+		b.await("the log is cut", func() bool { return pictures() == 1 })
+		before := b.ask("checks", "check", "kept", 5, false)
+		So(before.Status, ShouldEqual, 200)
+		b.node.Kill()
+		b.start()
+		var again audit.CallerRecord
+		b.await("the node serves again", func() bool {
+			again = b.ask("checks", "check", "kept", 5, false)
+			return again.Status == 200
+		})
+		So(again.Text, ShouldEqual, before.Text)
+		So(b.must(http.MethodGet, "/linedrum/desk", "", 200), ShouldStartWith, `{"file":`)
+		So(b.must(http.MethodGet, "/linedrum/desk/outcome?id=many-16", "", 200), ShouldContainSubstring, `"accepted":true`)
+		So(b.ask("extra-2999", "", "", 3, false).Status, ShouldEqual, 200)
+	})
+}
+
 func TestPlannedStop(t *testing.T) {
 	b := begin(t, swift(), nil)
 	Convey("what was read is finished, and the connection is closed right after its last byte", t, func() {
--- a/node/disk.go
+++ b/node/disk.go
@@ -120,13 +120,16 @@
 	if acceptor == nil || !acceptor.Trusted() || n.disk.Since() <= cutAfter {
 		return
 	}
-	var picture [][]byte
-	for _, rec := range acceptor.Picture() {
-		b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{})
-		if err != nil {
-			return // keep the log: a picture that misses a record is worse than a long one
+	state := acceptor.Picture() // copied here; packed on the log's writer
+	n.disk.Cut(func() ([][]byte, error) {
+		var picture [][]byte
+		for _, rec := range state {
+			b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{})
+			if err != nil {
+				return nil, err
+			}
+			picture = append(picture, b)
 		}
-		picture = append(picture, b)
-	}
-	n.disk.Cut(picture)
+		return picture, nil
+	})
 }
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -59,7 +59,7 @@
 
 type waiting struct {
 	record  []byte
-	picture [][]byte // set: cut here, and put this beside the log
+	picture func() ([][]byte, error) // of a cut: what is put beside the log
 	cut     bool
 	then    func(error)
 }
@@ -157,11 +157,17 @@
 			return report, 0, errors.Trace(err)
 		}
 		// A picture is renamed into place only once synced, so a torn one is damage.
-		_, whole, err := scan(b, each)
+		ended := false
+		_, whole, err := scan(b, func(r []byte) error {
+			if ended = len(r) == 0; ended {
+				return nil
+			}
+			return each(r)
+		})
 		if err != nil {
 			return report, 0, errors.Trace(err)
 		}
-		if !whole || len(b) == 0 {
+		if !whole || !ended {
 			return report, 0, errors.Annotatef(ErrDamaged, "picture %s", name(last, "pic"))
 		}
 	}
@@ -279,8 +285,9 @@
 func (l *Log) Barrier(then func(error)) { l.put(waiting{then: then}) }
 
 // Cut starts a new segment here and keeps a picture of all before it instead.
-// The caller holds the lock under which it appends, so the picture fits the place.
-func (l *Log) Cut(picture [][]byte) {
+// The caller holds the lock under which it appends, and has copied the state that
+// fits the place; packing it is done later, on the writer.
+func (l *Log) Cut(picture func() ([][]byte, error)) {
 	l.put(waiting{cut: true, picture: picture, then: func(error) {}})
 }
 
@@ -427,8 +434,35 @@
 	return l.Syncs, l.Records
 }
 
+// pictureBlock is about how much of a picture goes into one block.
+const pictureBlock = 1 << 20
+
+// writePicture writes records in blocks, and an empty record as the end mark.
+func writePicture(f File, picture [][]byte) error {
+	if _, err := f.Write([]byte(magic)); err != nil {
+		return err
+	}
+	for len(picture) > 0 {
+		n, size := 0, 0
+		for n < len(picture) && (n == 0 || size+len(picture[n]) <= pictureBlock) {
+			size += len(picture[n])
+			n++
+		}
+		if _, err := f.Write(block(picture[:n])); err != nil {
+			return err
+		}
+		picture = picture[n:]
+	}
+	_, err := f.Write(block([][]byte{{}}))
+	return err
+}
+
 // cut starts the next segment, then puts the picture in place, then removes what it covers.
-func (l *Log) cut(picture [][]byte) error {
+func (l *Log) cut(pack func() ([][]byte, error)) error {
+	picture, err := pack()
+	if err != nil {
+		return nil // keep the log: a picture that misses a record is worse than a long one
+	}
 	if err := l.file.Close(); err != nil {
 		return errors.Trace(err)
 	}
@@ -440,7 +474,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = f.Write(append([]byte(magic), block(picture)...))
+	err = writePicture(f, picture)
 	if err == nil {
 		err = f.Sync()
 	}
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -190,7 +191,7 @@
 			m := newMemory()
 			use(m, func(l *Log) {
 				l.Append([]byte("old"), func(error) {})
-				l.Cut([][]byte{[]byte("sum")})
+				l.Cut(func() ([][]byte, error) { return [][]byte{[]byte("sum")}, nil })
 				l.Append([]byte("new"), func(error) {})
 			})
 			got, _, err := replayed(m)
@@ -199,6 +200,36 @@
 			names, _ := m.List()
 			So(names, ShouldNotContain, "0000000000000001.seg")
 		})
+		Convey("a picture larger than any block is written in many and read whole; cut short anywhere it is damage", t, func() {
+			m := newMemory()
+			var large [][]byte
+			for i := range 70 {
+				large = append(large, bytes.Repeat([]byte{byte(i + 1)}, 1<<20))
+			}
+			use(m, func(l *Log) { l.Cut(func() ([][]byte, error) { return large, nil }) })
+			got, _, err := replayed(m)
+			So(err, ShouldBeNil)
+			So(got, ShouldHaveLength, len(large))
+			pic := "0000000000000002.pic"
+			whole := m.written[pic]
+			ends := len(block([][]byte{{}}))
+			for _, short := range []int{0, len(magic), len(magic) + len(block(large[:1])), len(whole) - ends, len(whole) - 1} {
+				m.written[pic] = whole[:short]
+				_, _, err := replayed(m)
+				So(errors.Is(err, ErrDamaged), ShouldBeTrue)
+			}
+		})
+		Convey("a picture that cannot be packed leaves the log as it is", t, func() {
+			m := newMemory()
+			use(m, func(l *Log) {
+				l.Append([]byte("one"), func(error) {})
+				l.Cut(func() ([][]byte, error) { return nil, errors.New("no") })
+				l.Append([]byte("two"), func(error) {})
+			})
+			got, _, err := replayed(m)
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, []string{"one", "two"})
+		})
 		Convey("what waits together is synced together", t, func() {
 			m := newMemory()
 			l, _, err := Open(m, 1<<20, func([]byte) error { return nil })
