Our words for types, fields and functions

Cause: consumers were still called clients, bounces refusals, and sites zones in names of types, fields and functions. Ruled out: the outside names (the command is zone, headers are HTTP's).

--- a/bench/audit/audit.go
+++ b/bench/audit/audit.go
@@ -251,7 +251,7 @@
 	records := append([]EngineRecord(nil), ev.Engines...)
 	sort.SliceStable(records, func(i, j int) bool { return records[i].At < records[j].At })
 	for _, r := range records {
-		if r.Event != EventRun && r.Event != EventRefuse || r.Request == "" {
+		if r.Event != EventRun && r.Event != EventBounce || r.Request == "" {
 			continue
 		}
 		key := r.Request + "/" + r.Phase
--- a/bench/audit/audit_test.go
+++ b/bench/audit/audit_test.go
@@ -71,7 +71,7 @@
 			}},
 			{"too many repeats", LineBudget, func(e *Evidence) {
 				for i := range 80 {
-					e.Engines = append(e.Engines, EngineRecord{At: 4*s + int64(i), Engine: "e1", Pool: "p", Event: EventRefuse, Phase: "prefill", Request: "z"})
+					e.Engines = append(e.Engines, EngineRecord{At: 4*s + int64(i), Engine: "e1", Pool: "p", Event: EventBounce, Phase: "prefill", Request: "z"})
 				}
 			}},
 			{"a flooded engine", LineFlooded, func(e *Evidence) {
--- a/bench/audit/record.go
+++ b/bench/audit/record.go
@@ -17,7 +17,7 @@
 	EventRun     = "run"     // work on a request began
 	EventEnd     = "end"     // it ended whole
 	EventCut     = "cut"     // it ended before its end
-	EventRefuse  = "refuse"  // it was proved not to have begun
+	EventBounce  = "refuse"  // it was proved not to have begun
 	EventRole    = "role"    // a role order was obeyed
 	EventStale   = "stale"   // a role order was refused as stale
 	EventFlooded = "flooded" // more at once than a fresh engine stands
--- a/bench/callers/callers.go
+++ b/bench/callers/callers.go
@@ -34,21 +34,21 @@
 	Expiry    time.Duration
 }
 
-// Client makes calls.
-type Client struct {
+// Consumer makes calls.
+type Consumer struct {
 	http *http.Client
 	book *audit.Book[audit.CallerRecord]
 }
 
-// New makes a client that never repeats a call by itself.
-func New(book *audit.Book[audit.CallerRecord]) *Client {
-	return &Client{book: book, http: &http.Client{
+// New makes a consumer that never repeats a call by itself.
+func New(book *audit.Book[audit.CallerRecord]) *Consumer {
+	return &Consumer{book: book, http: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second, DisableCompression: true},
 	}}
 }
 
 // Do makes one call and writes it down.
-func (c *Client) Do(ctx context.Context, call Call) audit.CallerRecord {
+func (c *Consumer) Do(ctx context.Context, call Call) audit.CallerRecord {
 	rec := audit.CallerRecord{
 		Began: time.Now().UnixNano(), Request: call.Request, Node: call.Node, Desk: call.Desk, Kind: call.Kind, Key: call.Key,
 		Prompt: standin.Digest(call.Prompt), Stream: call.Stream, Want: call.MaxTokens,
@@ -59,7 +59,7 @@
 	return rec
 }
 
-func (c *Client) do(ctx context.Context, call Call, rec *audit.CallerRecord) {
+func (c *Consumer) do(ctx context.Context, call Call, rec *audit.CallerRecord) {
 	body, _ := json.Marshal(map[string]any{"model": call.Desk, "prompt": call.Prompt, "max_tokens": call.MaxTokens, "stream": call.Stream})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Node+"/v1/completions", io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
@@ -119,7 +119,7 @@
 	}
 }
 
-func (c *Client) stream(body io.Reader, rec *audit.CallerRecord) {
+func (c *Consumer) stream(body io.Reader, rec *audit.CallerRecord) {
 	in := bufio.NewScanner(body)
 	in.Buffer(nil, 1<<20)
 	var text strings.Builder
--- a/bench/callers/mix.go
+++ b/bench/callers/mix.go
@@ -49,7 +49,7 @@
 
 // Run makes calls at the mix's rates until its time is over, then waits for the
 // calls under way. Arrivals are drawn from the seed.
-func (m Mix) Run(ctx context.Context, client *Client, span time.Duration) {
+func (m Mix) Run(ctx context.Context, consumer *Consumer, span time.Duration) {
 	var calls atomic.Int64
 	work := crew.New(ctx)
 	drawn := rand.New(rand.NewPCG(m.Seed, 17))
@@ -70,7 +70,7 @@
 				}
 				id := calls.Add(1)
 				pick := r.Uint64()
-				work.Start(func(ctx context.Context) { m.one(ctx, client, s, shared, id, pick) })
+				work.Start(func(ctx context.Context) { m.one(ctx, consumer, s, shared, id, pick) })
 			}
 		})
 	}
@@ -79,7 +79,7 @@
 
 // one is a single caller with its patience: it tries another node when one
 // cannot be dialled, and repeats a once-only check with its key.
-func (m Mix) one(ctx context.Context, client *Client, s Stream, shared string, id int64, pick uint64) {
+func (m Mix) one(ctx context.Context, consumer *Consumer, s Stream, shared string, id int64, pick uint64) {
 	prompt := shared + fmt.Sprintf("[%s%d] ", m.Prefix, id) + strings.Repeat("w", s.Own)
 	key := ""
 	if s.Once {
@@ -91,7 +91,7 @@
 			Request: fmt.Sprintf("%s%d.%d", m.Prefix, id, try), Node: nodes[(pick+uint64(try))%uint64(len(nodes))],
 			Desk: s.Desk, Kind: s.Kind, Key: key, Prompt: prompt, MaxTokens: s.Tokens, Stream: s.Stream,
 		}
-		rec := client.Do(ctx, call)
+		rec := consumer.Do(ctx, call)
 		switch {
 		case rec.Unsent:
 			continue
--- a/bench/cmd/linedrum-bench/measure.go
+++ b/bench/cmd/linedrum-bench/measure.go
@@ -50,7 +50,7 @@
 	if c.deployment == "dakar" {
 		spec, streams = fleet.Dakar(), callers.Dakar()
 	}
-	for _, step := range []func(fleet.Spec, []callers.Stream) error{c.overhead, c.zones, c.swing} {
+	for _, step := range []func(fleet.Spec, []callers.Stream) error{c.overhead, c.sites, c.swing} {
 		if err := step(spec, streams); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return subcommands.ExitFailure
@@ -146,7 +146,7 @@
 					desk, kind = checks, "check"
 				}
 				began = time.Now()
-				rec := r.Client.Do(context.Background(), callers.Call{Request: fmt.Sprintf("routed-%d%s", i, key), Node: f.Nodes[i%len(f.Nodes)].HTTP, Desk: desk, Kind: kind, Key: key, Prompt: prompt, MaxTokens: 10})
+				rec := r.Consumer.Do(context.Background(), callers.Call{Request: fmt.Sprintf("routed-%d%s", i, key), Node: f.Nodes[i%len(f.Nodes)].HTTP, Desk: desk, Kind: kind, Key: key, Prompt: prompt, MaxTokens: 10})
 				if rec.Status != http.StatusOK {
 					return fmt.Errorf("status %d %s", rec.Status, rec.Code)
 				}
@@ -181,7 +181,7 @@
 	return sum
 }
 
-func (c *measureCommand) zones(spec fleet.Spec, streams []callers.Stream) error {
+func (c *measureCommand) sites(spec fleet.Spec, streams []callers.Stream) error {
 	for _, cost := range []string{"0", "0.5"} {
 		err := c.with(spec, func(r *drill.Run) error {
 			file := strings.Replace(string(fleet.DeskFile(spec)), `"site_cost": 0.5`, `"site_cost": `+cost, 1)
--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -18,12 +18,12 @@
 
 // Run is one drill under way.
 type Run struct {
-	Fleet  *fleet.Fleet
-	Client *callers.Client
-	Book   *audit.Book[audit.CallerRecord]
-	Out    io.Writer
-	began  time.Time
-	desk   uint64
+	Fleet    *fleet.Fleet
+	Consumer *callers.Consumer
+	Book     *audit.Book[audit.CallerRecord]
+	Out      io.Writer
+	began    time.Time
+	desk     uint64
 }
 
 // Step is something done at a time of the drill.
@@ -66,7 +66,7 @@
 	if r.Book, err = audit.NewBook[audit.CallerRecord](filepath.Join(folder, "callers.jsonl")); err != nil {
 		return nil, err
 	}
-	r.Client = callers.New(r.Book)
+	r.Consumer = callers.New(r.Book)
 	if err := f.Start(); err != nil {
 		f.Stop()
 		return nil, err
@@ -129,7 +129,7 @@
 		failed <- nil
 	})
 	mix := callers.Mix{Streams: streams, Nodes: r.Fleet.Addresses, Seed: seed, Prefix: fmt.Sprintf("%s-%d-", d.Name, seed)}
-	mix.Run(ctx, r.Client, d.Span)
+	mix.Run(ctx, r.Consumer, d.Span)
 	if err := <-failed; err != nil {
 		return Result{}, err
 	}
--- a/bench/drill/drill_test.go
+++ b/bench/drill/drill_test.go
@@ -35,7 +35,7 @@
 		streams []callers.Stream
 		drill   Drill
 	}{
-		{fleet.Kettleby(), callers.Kettleby(), LoseZone(span)},
+		{fleet.Kettleby(), callers.Kettleby(), LoseSite(span)},
 		{fleet.Dakar(), callers.Dakar(), LoseDisk(span)},
 		{fleet.Dakar(), callers.Dakar(), Control(2 * span)},
 		{fleet.Kettleby(), callers.Kettleby(), Rolling(2 * span)},
--- a/bench/drill/drills.go
+++ b/bench/drill/drills.go
@@ -31,8 +31,8 @@
 	}}
 }
 
-// LoseZone kills every node and engine of one zone, its disk machine with them.
-func LoseZone(span time.Duration) Drill {
+// LoseSite kills every node and engine of one zone, its disk machine with them.
+func LoseSite(span time.Duration) Drill {
 	return Drill{Name: "lose-zone", About: "a whole zone is lost, nodes, disk and engines, and comes back", Span: span, Steps: func(r *Run) []Step {
 		site := r.Fleet.Spec.Sites[1]
 		var lost []*standin.Engine
@@ -101,8 +101,8 @@
 			}))
 		}
 		return append(steps,
-			at(0.18, span, "zone "+site+" is emptied", func(r *Run) error { return zone(r, site, true) }),
-			at(0.60, span, "zone "+site+" is back in", func(r *Run) error { return zone(r, site, false) }),
+			at(0.18, span, "zone "+site+" is emptied", func(r *Run) error { return setSite(r, site, true) }),
+			at(0.60, span, "zone "+site+" is back in", func(r *Run) error { return setSite(r, site, false) }),
 			at(0.62, span, "engine "+leaver.Name+" is leaving", func(r *Run) error {
 				r.Fleet.Leaving(leaver.Name, true)
 				return sendEngines(r)
@@ -116,8 +116,8 @@
 	}}
 }
 
-func zone(r *Run, site string, empty bool) error {
-	status, err := r.Fleet.Zone(r.AnyNode(), site, empty)
+func setSite(r *Run, place string, empty bool) error {
+	status, err := r.Fleet.Site(r.AnyNode(), place, empty)
 	if status != http.StatusOK {
 		return fmt.Errorf("status %d: %v", status, err)
 	}
@@ -177,7 +177,7 @@
 // Drills lists all by name.
 func Drills(span time.Duration) []Drill {
 	return []Drill{
-		LoseDisk(span), LoseZone(span), Control(span), Rolling(span), LoseAll(span),
+		LoseDisk(span), LoseSite(span), Control(span), Rolling(span), LoseAll(span),
 		EngineTrouble(span), Freeze(span), Operators(span), Crowd(span), NewMachine(span),
 	}
 }
--- a/bench/drill/trouble.go
+++ b/bench/drill/trouble.go
@@ -103,7 +103,7 @@
 				shared := strings.Repeat("the crowd's own long policy. ", 250)
 				for j := range 400 {
 					all.Start(func(ctx context.Context) {
-						r.Client.Do(ctx, callers.Call{
+						r.Consumer.Do(ctx, callers.Call{
 							Request: fmt.Sprintf("crowd-%d-%d", i, j), Node: r.Fleet.Nodes[j%len(r.Fleet.Nodes)].HTTP, Desk: checks, Kind: "check",
 							Key: fmt.Sprintf("crowd-%d-%d", i, j), Prompt: shared + fmt.Sprint(j), MaxTokens: 3,
 						})
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -402,7 +402,7 @@
 }
 
 // Zone empties a zone or brings it back.
-func (f *Fleet) Zone(n *Node, site string, empty bool) (int, error) {
+func (f *Fleet) Site(n *Node, site string, empty bool) (int, error) {
 	state := "in"
 	if empty {
 		state = "empty"
--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -33,15 +33,15 @@
 
 // bench is one node that is its own fleet, with a reader and a writer.
 type bench struct {
-	t       *testing.T
-	node    *node.Node
-	s       settings.Settings
-	logs    *memory.Handler
-	engines []*standin.Engine
-	runs    *audit.Book[audit.EngineRecord]
-	calls   *audit.Book[audit.CallerRecord]
-	client  *callers.Client
-	crew    *crew.Crew
+	t        *testing.T
+	node     *node.Node
+	s        settings.Settings
+	logs     *memory.Handler
+	engines  []*standin.Engine
+	runs     *audit.Book[audit.EngineRecord]
+	calls    *audit.Book[audit.CallerRecord]
+	consumer *callers.Consumer
+	crew     *crew.Crew
 }
 
 func port() string {
@@ -68,7 +68,7 @@
 	b := &bench{t: t, logs: memory.New(), crew: crew.New(context.Background())}
 	b.runs, _ = audit.NewBook[audit.EngineRecord]("")
 	b.calls, _ = audit.NewBook[audit.CallerRecord]("")
-	b.client = callers.New(b.calls)
+	b.consumer = callers.New(b.calls)
 	b.s = settings.Default()
 	b.s.Fleet, b.s.Listen, b.s.HTTP, b.s.Site, b.s.Data, b.s.Size = "one", port(), port(), "here", t.TempDir(), 1
 	b.s.Founders = []string{b.s.Listen}
@@ -151,7 +151,7 @@
 	asked.n++
 	id := fmt.Sprintf("q%d", asked.n)
 	asked.Unlock()
-	return b.client.Do(ctx, callers.Call{Request: id, Node: b.s.HTTP, Desk: desk, Kind: kind, Key: key, Prompt: prompt, MaxTokens: tokens, Stream: stream})
+	return b.consumer.Do(ctx, callers.Call{Request: id, Node: b.s.HTTP, Desk: desk, Kind: kind, Key: key, Prompt: prompt, MaxTokens: tokens, Stream: stream})
 }
 
 func (b *bench) ask(desk, kind, key string, tokens int, stream bool) audit.CallerRecord {
--- a/bench/standin/engine.go
+++ b/bench/standin/engine.go
@@ -114,8 +114,8 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (e *Engine) refuse(w http.ResponseWriter, request, phase string, status int, reason string) {
-	e.record(audit.EngineRecord{Event: audit.EventRefuse, Phase: phase, Request: request, Role: reason})
+func (e *Engine) bounce(w http.ResponseWriter, request, phase string, status int, reason string) {
+	e.record(audit.EngineRecord{Event: audit.EventBounce, Phase: phase, Request: request, Role: reason})
 	w.Header().Set(verdict.Header, verdict.NotRun.String())
 	reply(w, status, map[string]string{"error": reason})
 }
@@ -171,7 +171,7 @@
 	w.Header().Set(engine.HeaderRequest, request)
 	var in call
 	if err := json.NewDecoder(io.LimitReader(r.Body, 64<<20)).Decode(&in); err != nil {
-		e.refuse(w, request, "", http.StatusBadRequest, "body")
+		e.bounce(w, request, "", http.StatusBadRequest, "body")
 		return
 	}
 	phase := engine.Decode
@@ -180,7 +180,7 @@
 	}
 	if r.Header.Get("Idempotency-Key") != "" {
 		// linedrum must never forward it: net/http would replay the call.
-		e.refuse(w, request, phase, http.StatusBadRequest, "idempotency-key")
+		e.bounce(w, request, phase, http.StatusBadRequest, "idempotency-key")
 		return
 	}
 	ctx := r.Context()
@@ -194,7 +194,7 @@
 	e.mu.Unlock()
 	run, reason, status := e.begin(phase)
 	if reason != "" {
-		e.refuse(w, request, phase, status, reason)
+		e.bounce(w, request, phase, status, reason)
 		return
 	}
 	defer e.end()
@@ -312,7 +312,7 @@
 	prompt, err := e.take(ctx, in, faults)
 	w.Header().Set(engine.HeaderHandOver, strconv.FormatInt(time.Since(fetching).Milliseconds(), 10))
 	if err != nil || prompt != in.Prompt {
-		e.record(audit.EngineRecord{Event: audit.EventRefuse, Phase: engine.Decode, Request: request, Role: "lapsed"})
+		e.record(audit.EngineRecord{Event: audit.EventBounce, Phase: engine.Decode, Request: request, Role: "lapsed"})
 		w.Header().Set(verdict.Header, verdict.NotRun.String())
 		w.Header().Set(engine.HeaderLapsed, "1")
 		reply(w, http.StatusGone, map[string]string{"error": "the memory is gone"})
--- a/cmd/linedrum/main.go
+++ b/cmd/linedrum/main.go
@@ -23,7 +23,7 @@
 	subcommands.Register(&nodeCommand{}, "")
 	subcommands.Register(&checkCommand{}, "operators")
 	subcommands.Register(&applyCommand{}, "operators")
-	subcommands.Register(&zoneCommand{}, "operators")
+	subcommands.Register(&siteCommand{}, "operators")
 	subcommands.Register(&statusCommand{}, "operators")
 	subcommands.Register(&explainCommand{}, "operators")
 	subcommands.Register(&planCommand{}, "operators")
--- a/cmd/linedrum/node.go
+++ b/cmd/linedrum/node.go
@@ -95,7 +95,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n, err := node.Start(s, out)
 	if err != nil {
-		out.Say(event.StartRefused, event.Fields{"reason": err.Error()})
+		out.Say(event.StartBounced, event.Fields{"reason": err.Error()})
 		return exitFailed
 	}
 	for sig := range signals {
@@ -107,7 +107,7 @@
 			faults = n.Reload(fresh)
 		}
 		if len(faults) > 0 {
-			out.Say(event.ReloadRefused, event.Fields{"reason": faults.Error()})
+			out.Say(event.ReloadBounced, event.Fields{"reason": faults.Error()})
 			continue
 		}
 		out.Say(event.Reloaded, nil)
--- a/cmd/linedrum/operators.go
+++ b/cmd/linedrum/operators.go
@@ -234,19 +234,19 @@
 	return exitFailed
 }
 
-type zoneCommand struct{ target }
+type siteCommand struct{ target }
 
-func (*zoneCommand) Name() string     { return "zone" }
-func (*zoneCommand) Synopsis() string { return "empty a zone, or bring it back" }
-func (*zoneCommand) Usage() string {
+func (*siteCommand) Name() string     { return "zone" }
+func (*siteCommand) Synopsis() string { return "empty a zone, or bring it back" }
+func (*siteCommand) Usage() string {
 	return `linedrum zone [-node IP:PORT] empty|in NAME
   An emptied zone's engines get no new work. Exit code 0: recorded on a majority.
   Example: linedrum zone -node 127.0.0.1:8080 empty north
 `
 }
-func (c *zoneCommand) SetFlags(f *flag.FlagSet) { c.flags(f) }
+func (c *siteCommand) SetFlags(f *flag.FlagSet) { c.flags(f) }
 
-func (c *zoneCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *siteCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 2 || f.Arg(0) != "empty" && f.Arg(0) != "in" {
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exitUsage
--- a/crew/house_test.go
+++ b/crew/house_test.go
@@ -38,15 +38,15 @@
 			}
 			// A wall clock that jumps must have nothing to act on: the product reads it
 			// for the deadlines of connections alone, which keep to monotonic time.
-			deadlines := map[ast.Node]bool{}
+			limits := map[ast.Node]bool{}
 			product := !strings.HasPrefix(path, filepath.Join("..", "bench")) && !strings.HasSuffix(path, "_test.go")
 			ast.Inspect(file, func(n ast.Node) bool {
 				if call, ok := n.(*ast.CallExpr); ok {
 					if f, ok := call.Fun.(*ast.SelectorExpr); ok && strings.HasPrefix(f.Sel.Name, "Set") && strings.HasSuffix(f.Sel.Name, "Deadline") {
-						ast.Inspect(call, func(in ast.Node) bool { deadlines[in] = true; return true })
+						ast.Inspect(call, func(in ast.Node) bool { limits[in] = true; return true })
 					}
 				}
-				if s, ok := n.(*ast.SelectorExpr); ok && product && s.Sel.Name == "Now" && !deadlines[n] {
+				if s, ok := n.(*ast.SelectorExpr); ok && product && s.Sel.Name == "Now" && !limits[n] {
 					if pkg, ok := s.X.(*ast.Ident); ok && pkg.Name == "time" {
 						SoMsg(set.Position(s.Pos()).String()+" reads the wall clock", true, ShouldBeFalse)
 					}
--- a/engine/client.go
+++ b/engine/consumer.go
@@ -37,17 +37,17 @@
 	CodeInput  = "engine-refused-input"
 )
 
-// Client calls engines. It never repeats a call by itself: GetBody is unset and
+// Consumer calls engines. It never repeats a call by itself: GetBody is unset and
 // no Idempotency-Key is ever forwarded, since net/http replays a POST that bears one.
-type Client struct {
+type Consumer struct {
 	http     *http.Client
 	maxReply int64
 }
 
-// NewClient makes a client whose dials take no longer than dial.
-func NewClient(dial time.Duration, maxReply int64) *Client {
+// NewConsumer makes a consumer whose dials take no longer than dial.
+func NewConsumer(dial time.Duration, maxReply int64) *Consumer {
 	dialer := &net.Dialer{Timeout: dial}
-	return &Client{maxReply: maxReply, http: &http.Client{
+	return &Consumer{maxReply: maxReply, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
 			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
@@ -74,7 +74,7 @@
 
 // Complete sends one completion call and sorts every outcome into a verdict
 // (design.md section 5.2).
-func (c *Client) Complete(ctx context.Context, call Call) (Reply, error) {
+func (c *Consumer) Complete(ctx context.Context, call Call) (Reply, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{
 		WroteHeaderField: func(string, []string) { wrote.Store(true) },
@@ -99,7 +99,7 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		defer res.Body.Close()
-		return Reply{}, refusal(res)
+		return Reply{}, bounced(res)
 	}
 	if echoed := res.Header.Get(HeaderRequest); echoed != call.Request {
 		_ = res.Body.Close()
@@ -130,9 +130,9 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeCut, Reason: "the connection to the engine broke", Cause: err}
 }
 
-// refusal reads a status that is not 200. Only an engine that says so itself,
+// bounced reads a status that is not 200. Only an engine that says so itself,
 // in the verdict header, proves that it did not start.
-func refusal(res *http.Response) error {
+func bounced(res *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
 	e := &verdict.Error{Verdict: verdict.MayHaveRun, Status: res.StatusCode, Code: CodeBad, Reason: "the engine replied " + res.Status, Cause: errors.New(string(text))}
 	if v, ok := verdict.Parse(res.Header.Get(verdict.Header)); ok {
@@ -153,7 +153,7 @@
 }
 
 // Load asks an engine for its report.
-func (c *Client) Load(ctx context.Context, addr string) (Load, error) {
+func (c *Consumer) Load(ctx context.Context, addr string) (Load, error) {
 	var out Load
 	return out, c.call(ctx, http.MethodGet, "http://"+addr+"/linedrum/load", nil, &out)
 }
@@ -162,11 +162,11 @@
 const ErrStale = errors.ConstError("the engine obeyed a newer order")
 
 // Order gives an engine its role.
-func (c *Client) Order(ctx context.Context, addr string, order Order) error {
+func (c *Consumer) Order(ctx context.Context, addr string, order Order) error {
 	return c.call(ctx, http.MethodPost, "http://"+addr+"/linedrum/role", order, nil)
 }
 
-func (c *Client) call(ctx context.Context, method, url string, in, out any) error {
+func (c *Consumer) call(ctx context.Context, method, url string, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
--- a/event/event.go
+++ b/event/event.go
@@ -37,10 +37,10 @@
 	SitesTaken     Number = 303
 	RolesTaken     Number = 304
 	RoleOrdered    Number = 305
-	RoleRefused    Number = 306
+	RoleBounced    Number = 306
 	PermitLost     Number = 307
 	PermitHeld     Number = 308
-	DeskRefused    Number = 309
+	DeskBounced    Number = 309
 	EngineSilent   Number = 311
 	EngineBack     Number = 312
 	RequestDone    Number = 401
@@ -50,8 +50,8 @@
 	Stopping       Number = 502
 	Stopped        Number = 503
 	Reloaded       Number = 504
-	ReloadRefused  Number = 505
-	StartRefused   Number = 506
+	ReloadBounced  Number = 505
+	StartBounced   Number = 506
 )
 
 // Catalogue says what each number means, in the words of docs/log-events.md.
@@ -79,10 +79,10 @@
 	SitesTaken:     "a state of the sites is in force on this node",
 	RolesTaken:     "a role table is in force on this node",
 	RoleOrdered:    "an engine took a role",
-	RoleRefused:    "an engine did not take a role",
+	RoleBounced:    "an engine did not take a role",
 	PermitLost:     "the permit ran out; new work is bounced",
 	PermitHeld:     "the permit is held again",
-	DeskRefused:    "a desk file was refused",
+	DeskBounced:    "a desk file was refused",
 	EngineSilent:   "an engine does not report its load",
 	EngineBack:     "an engine reports its load again",
 	RequestDone:    "a request was replied to",
@@ -92,8 +92,8 @@
 	Stopping:       "the node stops: it leaves the ring and finishes what it has read",
 	Stopped:        "the node stopped",
 	Reloaded:       "the settings were read again",
-	ReloadRefused:  "the new settings are at fault; the old ones stay",
-	StartRefused:   "the node did not start",
+	ReloadBounced:  "the new settings are at fault; the old ones stay",
+	StartBounced:   "the node did not start",
 }
 
 // Log writes numbered events.
@@ -113,9 +113,9 @@
 	fields["event"] = int(n)
 	entry := l.entry.WithFields(fields)
 	switch n {
-	case DiskDamaged, DiskFailed, FoundingStuck, StartRefused:
+	case DiskDamaged, DiskFailed, FoundingStuck, StartBounced:
 		entry.Error(Catalogue[n])
-	case DiskTorn, PermitLost, ReloadRefused, DatagramBad, FrameBad, StreamCut, EngineSilent:
+	case DiskTorn, PermitLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent:
 		entry.Warn(Catalogue[n])
 	case RequestDone:
 		entry.Debug(Catalogue[n])
--- a/node/engines.go
+++ b/node/engines.go
@@ -232,7 +232,7 @@
 		n.crew.Start(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.InForce.D()/2)
 			defer cancel()
-			err := n.client.Order(ctx, listed.Addr, engine.Order{Pool: pool, Role: role, Fence: fence})
+			err := n.consumer.Order(ctx, listed.Addr, engine.Order{Pool: pool, Role: role, Fence: fence})
 			t.mu.Lock()
 			delete(t.ordering, name)
 			if err == nil {
@@ -242,7 +242,7 @@
 			fields := event.Fields{"engine": name, "role": role, "epoch": fence.Count, "serial": fence.Serial}
 			if err != nil {
 				fields["reason"] = err.Error()
-				n.log.Say(event.RoleRefused, fields)
+				n.log.Say(event.RoleBounced, fields)
 				return
 			}
 			n.log.Say(event.RoleOrdered, fields)
@@ -297,7 +297,7 @@
 func (n *Node) poll(ctx context.Context, target engine.Listed) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.Recovery.D()/12)
 	defer cancel()
-	load, err := n.client.Load(ctx, target.Addr)
+	load, err := n.consumer.Load(ctx, target.Addr)
 	if n.engines.polled(target.Name, load, err == nil, n.clock.Now()) {
 		if err != nil {
 			n.log.Say(event.EngineSilent, event.Fields{"engine": target.Name, "reason": err.Error()})
--- a/node/node.go
+++ b/node/node.go
@@ -52,13 +52,13 @@
 	planner map[string]*roles.Planner // of the duties' own goroutine
 	rivals  map[string]*core.Rivalry  // of the duties' own goroutine
 
-	engines *engines
-	gate    *gate.Gate
-	client  *engine.Client
-	front   *front
-	budget  *ledger.Budget // under mu
-	book    *explain.Book
-	asks    map[uint64]*asking // explanations asked of the cohort, under mu
+	engines  *engines
+	gate     *gate.Gate
+	consumer *engine.Consumer
+	front    *front
+	budget   *ledger.Budget // under mu
+	book     *explain.Book
+	asks     map[uint64]*asking // explanations asked of the cohort, under mu
 }
 
 // newRand seeds from the system: ask numbers must differ from those of this
@@ -98,7 +98,7 @@
 	}
 	n.core = core.New(s, acceptor, ports{n})
 	n.budget = ledger.NewBudget(s.Bounds.RetryShare, s.Bounds.RetryExtra, s.Bounds.RetryWindow.D(), s.Size, n.clock.Now())
-	n.client = engine.NewClient(s.Bounds.InForce.D()/4, int64(s.Limits.Body))
+	n.consumer = engine.NewConsumer(s.Bounds.InForce.D()/4, int64(s.Limits.Body))
 	n.engines = newEngines(s.Site, recovery)
 	n.gate = gate.New(n.clock)
 	if n.front, err = newFront(n); err != nil {
--- a/node/ops.go
+++ b/node/ops.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if _, faults := desk.Parse(body); len(faults) > 0 {
-		f.n.log.Say(event.DeskRefused, event.Fields{"faults": len(faults), "first": faults[0].String()})
+		f.n.log.Say(event.DeskBounced, event.Fields{"faults": len(faults), "first": faults[0].String()})
 		f.fail(w, faultsError(faults, "the desk file"))
 		return
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -442,7 +442,7 @@
 	ctx, cancel := q.expiryContext()
 	defer cancel()
 	g := q.begin(ledger.Prefill, q.pair.Reader.Name)
-	reply, err := q.n.client.Complete(ctx, engine.Call{
+	reply, err := q.n.consumer.Complete(ctx, engine.Call{
 		Addr: q.pair.Reader.Addr, Request: q.id, Expiry: q.ledger.Expiry - q.n.clock.Now(),
 		Body: q.body(map[string]any{"max_tokens": 1, "stream": false, "kv_transfer_params": map[string]any{"do_remote_decode": true}}),
 	})
@@ -473,7 +473,7 @@
 	_ = json.Unmarshal(q.memory, &memory)
 	memory["do_remote_prefill"], memory["do_remote_decode"] = true, false
 	g := q.begin(ledger.Decode, q.pair.Writer.Name)
-	reply, err := q.n.client.Complete(ctx, engine.Call{
+	reply, err := q.n.consumer.Complete(ctx, engine.Call{
 		Addr: q.pair.Writer.Addr, Request: q.id, Expiry: q.ledger.Expiry - q.n.clock.Now(), Stream: q.ask.Stream,
 		Body: q.body(map[string]any{"stream": q.ask.Stream, "kv_transfer_params": memory}),
 	})
