Large desk files are parsed before the core lock is taken

Cause: a file of 3000 desks takes 129 ms to parse and check, and every node did so under its core lock when the file came in force, with heartbeats, permits and claims waiting. Ruled out: a quicker reader; a third of the time is koanf's copy of the tree and a quarter the walk that finds doubled keys, and both are wanted. After: parsed on the connection that brought it, and looked up under the lock.

--- a/node/control.go
+++ b/node/control.go
@@ -55,11 +55,7 @@
 	case cell.Serial == 0:
 		return
 	case key == core.KeyDesk:
-		var stored desk.Stored
-		var file *desk.File
-		if err := json.Unmarshal(cell.Value, &stored); err == nil {
-			file, _ = desk.Parse(stored.File)
-		}
+		file := n.desks.find(cell.Value)
 		// A file that this program cannot read is no file: everything bounces.
 		n.picture.Desk, n.picture.DeskSerial = file, cell.Serial
 		if file == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -49,6 +49,7 @@
 	disk    *wal.Log
 	folder  *wal.Folder
 	picture Picture
+	desks   desks
 	planner map[string]*roles.Planner // of the duties' own goroutine
 	rivals  map[string]*core.Rivalry  // of the duties' own goroutine
 
@@ -183,6 +184,9 @@
 }
 
 func (h handler) Frame(m register.Message, c wire.Cohort) {
+	if m.Kind == register.KindQueried {
+		h.n.desks.prepare(m)
+	}
 	h.n.mu.Lock()
 	defer h.n.mu.Unlock()
 	switch m.Kind {
