A repeated go takes its share of the budget at one moment with the check

Cause: a request looked whether the node's budget had a repeat left, and took it some steps later; others that looked meanwhile took the same one. Found by a new drill in which half of the engines bounce every call while they report that they are free, and three nodes restart with empty counters. Ruled out: the restarts (the breach was before them) and the fixed extra.

--- a/bench/standin/engine.go
+++ b/bench/standin/engine.go
@@ -71,6 +71,7 @@
 	Lapse    bool          `json:"lapse"`     // forgets all memory, at once
 	SlowLink time.Duration `json:"slow_link"` // added to every hand-over
 	CutAfter int           `json:"cut_after"` // breaks each stream after this many tokens
+	Refuse   bool          `json:"refuse"`    // bounces every call, and reports that it is free
 }
 
 // Start serves on an address; port 0 lets the system give one.
@@ -192,6 +193,10 @@
 	e.mu.Lock()
 	faults := e.faults
 	e.mu.Unlock()
+	if faults.Refuse {
+		e.bounce(w, request, phase, http.StatusServiceUnavailable, "refuses")
+		return
+	}
 	run, reason, status := e.begin(phase)
 	if reason != "" {
 		e.bounce(w, request, phase, status, reason)
--- a/node/serve.go
+++ b/node/serve.go
@@ -68,6 +68,7 @@
 	arrived time.Duration
 	why     explain.Record // for whoever asks why it went where it went
 	repeats int
+	spent   bool            // the budget was found empty at the moment of a repeat
 	memory  json.RawMessage // kv_transfer_params of the prefill
 	reply   []byte
 	wrote   bool
@@ -236,11 +237,10 @@
 				return
 			}
 		case ledger.StepPrefill, ledger.StepDecode:
-			if move.Repeat {
-				q.repeats++
-				q.n.mu.Lock()
-				q.n.budget.Spend(q.n.clock.Now())
-				q.n.mu.Unlock()
+			if move.Repeat && !q.spend() {
+				// Another request took the last of the budget since the look.
+				q.spent = true
+				continue
 			}
 			if move.Step == ledger.StepPrefill {
 				q.prefill()
@@ -269,6 +269,20 @@
 	}
 }
 
+// spend takes one repeated go out of the budget, if there is one left.
+func (q *request) spend() bool {
+	nodes, _ := q.n.fleetView()
+	q.n.mu.Lock()
+	defer q.n.mu.Unlock()
+	now := q.n.clock.Now()
+	if !q.n.budget.May(now, nodes) {
+		return false
+	}
+	q.n.budget.Spend(now)
+	q.repeats++
+	return true
+}
+
 // noteMove keeps a decision for explaining; a long wait is kept once.
 func (q *request) noteMove(view ledger.View, move ledger.Move) {
 	m := explain.Move{Goes: len(q.ledger.Goes), Claim: q.ledger.Claim, FirstByte: q.ledger.FirstByte, View: view, Move: move}
@@ -284,7 +298,7 @@
 	now := q.n.clock.Now()
 	nodes, _ := q.n.fleetView()
 	q.n.mu.Lock()
-	v := ledger.View{Now: now, Permit: q.n.core.Keeper.Held(), Budget: q.n.budget.May(now, nodes)}
+	v := ledger.View{Now: now, Permit: q.n.core.Keeper.Held(), Budget: !q.spent && q.n.budget.May(now, nodes)}
 	q.n.mu.Unlock()
 	// A permit that is a moment late is waited for, as after a freeze.
 	v.PermitSoon = now < q.arrived+q.n.settings.Bounds.InForce.D()/4
