Engines that bounce again and again rest longer each time

Cause: an engine that bounces every call and reports that it is free was tried anew by each node after every report, and the retry budget went there. Ruled out: not trusting the load report at all, since a crowd's refusals are true for half a second only.

--- a/bench/drill/drill_test.go
+++ b/bench/drill/drill_test.go
@@ -44,6 +44,7 @@
 		{fleet.Dakar(), callers.Dakar(), Freeze(2 * span)},
 		{fleet.Dakar(), callers.Dakar(), Operators(span)},
 		{fleet.Kettleby(), callers.Kettleby(), Crowd(span)},
+		{fleet.Kettleby(), callers.Kettleby(), Refusals(span)},
 	} {
 		Convey(c.drill.Name+" on "+c.spec.Name+" breaks no never-line", t, func() {
 			r, err := Begin(c.spec, t.TempDir(), binary, testOut{t})
--- a/node/engines.go
+++ b/node/engines.go
@@ -37,6 +37,7 @@
 	inflight int
 	since    int
 	resting  time.Duration
+	failed   int // goes that failed in a row
 	ordered  engine.Fence
 }
 
@@ -322,6 +323,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[name]; s != nil {
-		s.resting = now + t.rest
+		// Twice as long each time in a row, up to the span of a slow start.
+		s.resting = now + min(t.rest<<min(s.failed, 10), t.ramp)
+		s.failed++
+	}
+}
+
+// well notes a go that an engine finished.
+func (t *engines) well(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		s.failed, s.resting = 0, 0
 	}
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -430,7 +430,9 @@
 func (q *request) end(g *ledger.Go, err error) {
 	g.Ended = q.n.clock.Now()
 	g.Verdict = verdict.Ran
-	if err != nil {
+	if err == nil {
+		q.n.engines.well(g.Server)
+	} else {
 		g.Verdict = verdict.Of(err)
 		var e *verdict.Error
 		if errors.As(err, &e) {
@@ -446,7 +448,10 @@
 	switch g.Code {
 	case engine.CodeLapsed, engine.CodeInput:
 	case engine.CodeBusy:
+		// Full until its next report; and where that says otherwise again and again,
+		// another engine is the better one.
 		q.n.engines.full(server)
+		q.n.engines.restFor(server, q.n.clock.Now())
 	default:
 		q.n.engines.restFor(server, q.n.clock.Now())
 	}
