One word for each engine code, one question for old disks, one way to begin a fleet

Cause: read again as a whole, the change kept the codes of lapsed memory and of bounced input twice, in two packages that must agree; asked twice by a loop of its own whether a disk is of the set in use; closed the HTTP side twice when a node is killed; and the demo began a fleet by its own copy of the drills' steps.

--- a/bench/cmd/linedrum-bench/demo.go
+++ b/bench/cmd/linedrum-bench/demo.go
@@ -4,14 +4,15 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"syscall"
-	"time"
 
 	"github.com/google/subcommands"
 
+	"linedrum.example/linedrum/bench/drill"
 	"linedrum.example/linedrum/bench/fleet"
 )
 
@@ -53,32 +54,16 @@
 	}
 	spec := fleet.Kettleby()
 	spec.Nodes, spec.Engines = 3, 4
-	f, err := fleet.New(spec, c.folder, c.binary)
+	r, err := drill.Begin(spec, c.folder, c.binary, io.Discard)
 	if err != nil {
 		return err
 	}
+	f := r.Fleet
 	defer f.Stop()
-	if err := f.Start(); err != nil {
-		return err
-	}
 	file := filepath.Join(c.folder, "desks.json")
 	if err := os.WriteFile(file, fleet.DeskFile(spec), 0o644); err != nil {
 		return err
 	}
-	err = fleet.Await(20*time.Second, "the desk file and the engines are taken", func() bool {
-		status, _, _ := f.Apply(f.Nodes[0], 0, "demo", fleet.DeskFile(spec))
-		if status != 200 {
-			return false
-		}
-		status, _ = f.SendEngines(f.Nodes[1])
-		return status == 200
-	})
-	if err != nil {
-		return err
-	}
-	if err := f.AwaitReady(20 * time.Second); err != nil {
-		return err
-	}
 	fmt.Printf(`The fleet serves. Settings, data and logs are in %s.
 Try, in another terminal:
 
--- a/core/change.go
+++ b/core/change.go
@@ -41,12 +41,8 @@
 	if c.Acceptor == nil || len(set.Next) == 0 {
 		return false
 	}
-	for _, d := range set.Disks {
-		if d.Identity == c.Acceptor.Identity() {
-			return false
-		}
-	}
-	return set.Has(c.Acceptor.Identity())
+	mine := c.Acceptor.Identity()
+	return set.Has(mine) && !set.Old(mine)
 }
 
 // copied notes that this disk holds all that another one held under a set.
@@ -158,11 +154,7 @@
 	c.spread(set)
 	ready := true
 	for _, d := range set.Next {
-		old := false
-		for _, o := range set.Disks {
-			old = old || o.Identity == d.Identity
-		}
-		if !old && c.change.ready[d.Identity] != set.Serial {
+		if !set.Old(d.Identity) && c.change.ready[d.Identity] != set.Serial {
 			ready = false
 		}
 	}
--- a/engine/consumer.go
+++ b/engine/consumer.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/verdict"
 )
 
@@ -28,13 +29,13 @@
 
 // Codes of a failed go.
 const (
-	CodeLapsed = "memory-lapsed"
+	CodeLapsed = ledger.CodeLapsed
 	CodeBusy   = "engine-busy"
 	CodeRole   = "engine-role"
 	CodeDial   = "engine-unreachable"
 	CodeCut    = "engine-cut"
 	CodeBad    = "engine-bad-reply"
-	CodeInput  = "engine-refused-input"
+	CodeInput  = ledger.CodeInput
 )
 
 // Consumer calls engines. It never repeats a call by itself: GetBody is unset and
--- a/node/front.go
+++ b/node/front.go
@@ -133,8 +133,6 @@
 	return nil
 }
 
-func (f *front) kill() { _ = f.server.Close() }
-
 // Stop takes the node down as planned (section 6): it leaves the ring, hands its
 // duties over, bounces what it has not read, finishes what it has, and closes
 // each connection after its last byte.
--- a/node/node.go
+++ b/node/node.go
@@ -134,10 +134,7 @@
 }
 
 // Kill ends the node at once, as a crash would but for what the process itself holds.
-func (n *Node) Kill() {
-	n.front.kill()
-	n.cleanup.Run()
-}
+func (n *Node) Kill() { n.cleanup.Run() }
 
 func every(ctx context.Context, d time.Duration, step func()) {
 	t := time.NewTicker(d)
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -35,6 +35,9 @@
 // Has tells whether a disk votes in this set.
 func (s Set) Has(identity string) bool { return has(s.Disks, identity) || has(s.Next, identity) }
 
+// Old tells whether a disk is of the set that is in use, not only of the next one.
+func (s Set) Old(identity string) bool { return has(s.Disks, identity) }
+
 func has(disks []Disk, identity string) bool {
 	for _, d := range disks {
 		if d.Identity == identity {
