--- a/core/core.go
+++ b/core/core.go
@@ -13,7 +13,7 @@
 	"linedrum.example/linedrum/calot"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/freshness"
-	"linedrum.example/linedrum/inforce"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/quorum"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/ring"
@@ -57,10 +57,10 @@
 	Holder   *register.Holder
 	Paths    *register.Paths
 	Founder  *register.Founder
-	Keeper   *inforce.Keeper
+	Keeper   *lease.Keeper
 	// Fresh is how old this node's knowledge of the list of engines is.
 	Fresh *freshness.Watch
-	Relay *inforce.Relay
+	Relay *lease.Relay
 
 	settling map[string]time.Duration
 	duties   map[string]*Duty
@@ -99,10 +99,10 @@
 	c.Founder = register.NewFounder(self.Addr, s.FirstDisks(), s.Seeds, acceptor, ports, frames{ports}, founding{c}, recovery/24, ports.Uint64()>>8, c.diskNodes)
 	// One permit serves three bounds: it is cut to the tightest (section 1.3).
 	bound := min(inForce, s.Bounds.EngineLeave.D()*2/3, s.Bounds.SiteEmpty.D()*2/5)
-	timing := inforce.TimingFor(bound)
+	timing := lease.TimingFor(bound)
 	ask := ports.Uint64() >> 8
-	c.Keeper = inforce.New(self.Addr, ports, frames{ports}, keeping{c}, timing, ask)
-	c.Relay = inforce.NewRelay(self.Addr, ports, frames{ports}, c.Holder.Set, timing, ask|1<<60)
+	c.Keeper = lease.New(self.Addr, ports, frames{ports}, keeping{c}, timing, ask)
+	c.Relay = lease.NewRelay(self.Addr, ports, frames{ports}, c.Holder.Set, timing, ask|1<<60)
 	c.Holder.Known = c.Keeper.Cell
 	c.Keeper.Want(BaseKeys)
 	c.Fresh = freshness.New(freshness.TimingFor(s.Bounds.EngineLeave.D()), ports.Now())
--- a/inforce/keeper.go
+++ b/lease/keeper.go
@@ -1,7 +1,7 @@
-// Package inforce keeps a node's permit: the short time for which a majority of
+// Package lease keeps a node's permit: the short time for which a majority of
 // disks confirmed that what this node holds of the control state is the newest
 // (design.md section 4.2). No new go starts without one.
-package inforce
+package lease
 
 import (
 	"slices"
--- a/inforce/relay.go
+++ b/lease/relay.go
@@ -1,4 +1,4 @@
-package inforce
+package lease
 
 import (
 	"time"
