--- a/bench/platform/audit_test.go
+++ b/bench/platform/audit_test.go
@@ -113,6 +113,52 @@
 		{"CONFIG", "an older one comes back", func(ev *Evidence, _ time.Time) { ev.Acts[2].Body = marshal(ev.Acts[0].Config) }},
 		{"CONFIG", "another one comes back", func(ev *Evidence, _ time.Time) { ev.Acts[2].Body = []byte(`{"version":5}`) }},
 		{"CONFIG", "none comes back", func(ev *Evidence, _ time.Time) { ev.Acts[2].Status = 503 }},
+		{"CONFIG", "two on top of one version, one of which the operator did not hear of", func(ev *Evidence, t0 time.Time) {
+			c := clone(*ev.Acts[1].Config)
+			c.Version = 4
+			ev.Acts = append(ev.Acts, &Act{Kind: "put", Sent: t0.Add(19 * time.Second), Unheard: []int{200}, Based: 3, Version: 4, Config: &c})
+		}},
+		{"CONFIG", "an older one is handed out", func(ev *Evidence, t0 time.Time) {
+			ev.Acts = append(ev.Acts, &Act{Kind: "read", Sent: t0.Add(24 * time.Second), Ended: t0.Add(24 * time.Second), Status: 200, Body: marshal(ev.Acts[0].Config), Node: "n1"})
+		}},
+		{"CONFIG", "one that nobody sent is handed out", func(ev *Evidence, t0 time.Time) {
+			ev.Acts = append(ev.Acts, &Act{Kind: "read", Sent: t0.Add(24 * time.Second), Ended: t0.Add(24 * time.Second), Status: 200, Body: []byte(`{"version":4}`), Node: "n1"})
+		}},
+		{"", "an older one is handed out before its time is over", func(ev *Evidence, t0 time.Time) {
+			ev.Acts = append(ev.Acts, &Act{Kind: "read", Sent: t0.Add(22 * time.Second), Ended: t0.Add(22 * time.Second), Status: 200, Body: marshal(ev.Acts[0].Config), Node: "n1"})
+		}},
+		{"", "an older one is handed out by a machine in trouble", func(ev *Evidence, t0 time.Time) {
+			ev.Acts = append(ev.Acts, &Act{Kind: "read", Sent: t0.Add(24 * time.Second), Ended: t0.Add(24 * time.Second), Status: 200, Body: marshal(ev.Acts[0].Config), Node: "n1"})
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(22 * time.Second), Node: "n1", IP: "10.0.0.1", What: "cut"})
+		}},
+		{"REPEAT", "an acknowledged change is refused when it comes again", func(ev *Evidence, _ time.Time) {
+			ev.Acts[1].Status, ev.Acts[1].Unheard = 412, []int{200}
+		}},
+		{"", "an acknowledged change is acknowledged again", func(ev *Evidence, _ time.Time) { ev.Acts[1].Unheard = []int{200} }},
+		{"DENIED", "proper requests are refused for good", func(ev *Evidence, _ time.Time) {
+			for _, t := range ev.Tries[:6] {
+				t.Status, t.Pieces = 403, nil
+			}
+			ev.Arrivals = ev.Arrivals[6:]
+		}},
+		{"", "a few proper requests are refused for good", func(ev *Evidence, _ time.Time) {
+			for _, t := range ev.Tries[:5] {
+				t.Status, t.Pieces = 403, nil
+			}
+			ev.Arrivals = ev.Arrivals[5:]
+		}},
+		{"", "proper requests are refused for good by a machine in trouble", func(ev *Evidence, t0 time.Time) {
+			for _, t := range ev.Tries[:6] {
+				t.Status, t.Pieces = 403, nil
+			}
+			ev.Arrivals = ev.Arrivals[6:]
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0, To: t0.Add(20 * time.Second), Node: "n1", IP: "10.0.0.1", What: "freeze"})
+		}},
+		{"MIXED", "a whole body that is cut short", func(ev *Evidence, _ time.Time) {
+			t := ev.Tries[1]
+			t.Pieces, t.Text = nil, t.Attempt+" "+ev.Arrivals[1].Run+" ww"
+		}},
+		{"MIXED", "a stream that ends as whole without any event", func(ev *Evidence, _ time.Time) { ev.Tries[1].Pieces = nil }},
 		{"DRAIN", "an engine that leaves", func(ev *Evidence, t0 time.Time) {
 			ev.Shown = append(ev.Shown, Shown{t0.Add(30 * time.Second), "i-1", "draining"})
 			ev.Tries, ev.Arrivals = ev.Tries[:25], ev.Arrivals[:25]
@@ -121,6 +167,10 @@
 			ev.Shown = append(ev.Shown, Shown{t0.Add(30 * time.Second), "i-1", "draining"})
 			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(31 * time.Second), Node: "n1", IP: "10.0.0.1", What: "cut"})
 		}},
+		{"", "an engine that leaves, to which the ways were cut", func(ev *Evidence, t0 time.Time) {
+			ev.Shown = append(ev.Shown, Shown{t0.Add(30 * time.Second), "i-1", "draining"})
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(31 * time.Second), Node: "i-1", What: "engine_cut"})
+		}},
 		{"LOST", "a request that a planned stop dropped", func(ev *Evidence, t0 time.Time) {
 			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(29 * time.Second), To: t0.Add(33 * time.Second), Node: "n1", IP: "10.0.0.1", What: "stop", Planned: true})
 			ev.Tries[20].Status, ev.Tries[20].Whole, ev.Tries[20].Pieces = 0, false, nil
@@ -149,6 +199,14 @@
 				ev.Arrivals[i].At, ev.Arrivals[i].Cold = t0.Add(10*time.Second+time.Duration(i)*time.Millisecond), true
 			}
 		}},
+		{"", "a cold engine gets at once what a cut held up", func(ev *Evidence, t0 time.Time) {
+			for i := range 24 {
+				r := *ev.Arrivals[2]
+				r.At, r.Cold = r.At.Add(time.Duration(i)*time.Millisecond), true
+				ev.Arrivals = append(ev.Arrivals, &r)
+			}
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(8 * time.Second), To: t0.Add(12 * time.Second), Node: "i-1", What: "engine_cut"})
+		}},
 		{"EVAC", "an emptied zone", func(ev *Evidence, t0 time.Time) {
 			ev.Acts = append(ev.Acts, &Act{Kind: "evacuate", Zone: "hall-a", Sent: t0.Add(12 * time.Second), Ended: t0.Add(13 * time.Second), Status: 200})
 		}},
--- a/bench/platform/engine.go
+++ b/bench/platform/engine.go
@@ -59,6 +59,8 @@
 	Lapse    bool    // handles are gone at once
 	SlowWork float64 // work takes so many times as long
 	Full     bool    // turns every request away
+	Grey     float64 // share of requests that it fails while its health answer is good
+	GreyHow  GreyWay // how
 }
 
 // Engine is one life of one engine.
@@ -412,6 +414,8 @@
 		return e.refuse(l, req, http.StatusBadRequest)
 	case t.Full:
 		return e.refuse(l, req, http.StatusServiceUnavailable)
+	case t.Grey > 0 && e.draw() < t.Grey:
+		return e.grey(ctx, l, req, rec, t.GreyHow)
 	}
 	if req.Header.Get(HeaderTokens) == "" {
 		return e.plain(ctx, l, req, rec)
--- a/bench/platform/evidence.go
+++ b/bench/platform/evidence.go
@@ -83,6 +83,7 @@
 	Ended   time.Time
 	Status  int   // the clear answer; 0: none
 	Tried   []int // the status of each call
+	Unheard []int // acknowledgements that were lost on their way to the operator
 	Node    string
 	Based   int
 	Version int
@@ -116,7 +117,7 @@
 	Node     string    // name
 	IP       string
 	Core     bool
-	What     string // kill, start, stop, hangup, freeze, cut, disk, clock
+	What     string // kill, start, stop, hangup, freeze, cut, disk, reset; engine_cut: Node is an engine's id
 	Planned  bool
 }
 
--- a/bench/virtual/disk.go
+++ b/bench/virtual/disk.go
@@ -7,6 +7,7 @@
 	"os"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
 	"linedrum.example/linedrum/crew"
@@ -23,6 +24,8 @@
 	delay   time.Duration // of a sync
 	stalled bool
 	fails   bool
+	full    bool
+	room    int  // bytes that it still takes while it is full
 	lies    bool // the planted fault: a sync is said to be done, and is not
 	changed *sync.Cond
 	Syncs   int
@@ -70,6 +73,31 @@
 	d.fails = fails
 }
 
+// Fill has the disk take so many more bytes and then none: a write ends short, with
+// ENOSPC. Reads, syncs, renames and removals go on. It stays full when a process ends.
+func (d *Disk) Fill(room int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full, d.room = true, room
+}
+
+// Clear has the disk take bytes again.
+func (d *Disk) Clear() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = false
+}
+
+// take is how many of some bytes the disk takes. Called under mu.
+func (d *Disk) take(count int) int {
+	if !d.full {
+		return count
+	}
+	taken := min(count, d.room)
+	d.room -= taken
+	return taken
+}
+
 // Crash ends the life of whoever had the disk open. A power loss takes with it
 // what was not synced.
 func (d *Disk) Crash(power bool) {
@@ -169,6 +197,9 @@
 		return nil, err
 	}
 	defer f.disk.mu.Unlock()
+	if f.disk.full && f.disk.room == 0 {
+		return nil, &os.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
+	}
 	c := &content{}
 	f.disk.now[name] = c
 	return &file{f, c}, nil
@@ -236,9 +267,13 @@
 		return 0, err
 	}
 	defer w.f.disk.mu.Unlock()
-	w.c.data = append(w.c.data, b...)
-	w.f.disk.Written += int64(len(b))
-	return len(b), nil
+	taken := w.f.disk.take(len(b))
+	w.c.data = append(w.c.data, b[:taken]...)
+	w.f.disk.Written += int64(taken)
+	if taken < len(b) {
+		return taken, fmt.Errorf("write: %w", syscall.ENOSPC)
+	}
+	return taken, nil
 }
 
 // Sync takes its time; what was written before it began lasts when it ends.
--- a/bench/virtual/net.go
+++ b/bench/virtual/net.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,6 +51,7 @@
 	since     time.Time // it was frozen
 	Frozen    []Span    // when it was, over and done
 	port      int
+	resets    uint64 // connections that Reset looked at, for its draws
 	listeners map[string]*listener
 	packets   map[string]*packets
 	ends      map[*end]bool
@@ -545,6 +547,28 @@
 	e.cond.Broadcast()
 }
 
+// Reset resets a share of the machine's connections, whatever is under way on them.
+func (m *Machine) Reset(share float64) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	var open []*end
+	for e := range m.ends {
+		open = append(open, e)
+	}
+	slices.SortFunc(open, func(a, b *end) int {
+		return cmp.Or(cmp.Compare(a.local, b.local), cmp.Compare(a.remote, b.remote))
+	})
+	for _, e := range open {
+		m.resets++
+		if m.net.draw(m.IP, "reset", m.resets) >= share || e.closed || e.broken {
+			continue
+		}
+		e.broken = true
+		e.peer.put(segment{at: time.Now().Add(m.net.delay(m, e.peer.machine)), reset: true})
+		e.cond.Broadcast()
+	}
+}
+
 func (e *end) LocalAddr() net.Addr  { return e.local }
 func (e *end) RemoteAddr() net.Addr { return e.remote }
 
--- a/bench/virtual/net_test.go
+++ b/bench/virtual/net_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +67,31 @@
 		So(later, ShouldBeTrue)
 	})
 }
+
+// TestReset resets all connections of a machine, and none of a share of none.
+func TestReset(t *testing.T) {
+	var kept, reset error
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNet(1)
+		m, other := n.Add("a"), n.Add("b")
+		here, there := m.Boot(), other.Boot()
+		l, _ := there.Listen(other.IP + ":1")
+		conn, err := here.Dial(context.Background(), other.IP+":1")
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		far, _ := l.Accept()
+		other.Reset(0)
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, kept = conn.Read(make([]byte, 1))
+		other.Reset(1)
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, reset = conn.Read(make([]byte, 1))
+		_, _ = conn.Close(), far.Close()
+	})
+	Convey("both sides of a reset connection hear of it", t, func() {
+		So(errors.Is(kept, os.ErrDeadlineExceeded), ShouldBeTrue)
+		So(errors.Is(reset, syscall.ECONNRESET), ShouldBeTrue)
+	})
+}
