--- a/bench/cmd/linedrum-bench/main.go
+++ b/bench/cmd/linedrum-bench/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(&dayCommand{}, "")
 	subcommands.Register(&demoCommand{}, "")
 	subcommands.Register(&drillCommand{}, "")
+	subcommands.Register(&huntCommand{}, "")
 	subcommands.Register(&measureCommand{}, "")
 	subcommands.Register(&slopeCommand{}, "")
 	flag.Parse()
--- a/bench/platform/audit.go
+++ b/bench/platform/audit.go
@@ -10,7 +10,8 @@
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule, What string
+	Rule string `json:"rule"`
+	What string `json:"what"`
 }
 
 func (b Breach) String() string { return b.Rule + ": " + b.What }
--- a/bench/platform/day.go
+++ b/bench/platform/day.go
@@ -1,7 +1,9 @@
 package platform
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -16,28 +18,28 @@
 // Day is a stretch of load with what happens in it.
 type Day struct {
 	Name    string          `json:"name" need:"yes" min:"1" max:"64"`
-	Seed    uint64          `json:"seed" min:"0" max:"1000000000"`
+	Seed    uint64          `json:"seed,omitzero" min:"0" max:"1000000000"`
 	Span    strict.Duration `json:"span" need:"yes" min:"1s" max:"1h"`
-	Lead    strict.Duration `json:"lead" min:"1s" max:"5m"` // from the nodes' start to the load
-	Nodes   int             `json:"nodes" min:"1" max:"30"` // in each zone, the first with a disk
-	Engines int             `json:"engines" min:"1" max:"30"`
-	Load    float64         `json:"load" min:"0" max:"20"` // of the usual
-	Classes []Class         `json:"classes" max:"32"`      // instead of the usual ones
-	Events  []Event         `json:"events" max:"200"`
-	Closing string          `json:"closing" any:"none kill_all power_off_all power_timed wipe_acked"`
+	Lead    strict.Duration `json:"lead,omitzero" min:"1s" max:"5m"` // from the nodes' start to the load
+	Nodes   int             `json:"nodes,omitzero" min:"1" max:"30"` // in each zone, the first with a disk
+	Engines int             `json:"engines,omitzero" min:"1" max:"30"`
+	Load    float64         `json:"load,omitzero" min:"0" max:"20"` // of the usual
+	Classes []Class         `json:"classes,omitzero" max:"32"`      // instead of the usual ones
+	Events  []Event         `json:"events,omitzero" max:"200"`
+	Closing string          `json:"closing,omitzero" any:"none kill_all power_off_all power_timed wipe_acked"`
 }
 
 // Event is something that happens on a day.
 type Event struct {
 	At    strict.Duration `json:"at" need:"yes" min:"0s" max:"1h"`
 	Kind  string          `json:"kind" need:"yes" any:"config storm race bad evacuate leave release crash dark garble lost full kill term herd cut freeze wipe replace burst kv_slow handles_lapse rough disk_slow disk_stall disk_full big cold cut_engines zone_cut ack_lost grey reuse reset seeds read"`
-	How   string          `json:"how"`
-	For   strict.Duration `json:"for" min:"0s" max:"1h"`
-	Gap   strict.Duration `json:"gap" min:"0s" max:"5m"`
-	Count int             `json:"count" min:"0" max:"1000"`
-	X     float64         `json:"x" min:"0" max:"1000"`
-	Core  bool            `json:"core"` // machines with a disk
-	Zone  string          `json:"zone"`
+	How   string          `json:"how,omitzero"`
+	For   strict.Duration `json:"for,omitzero" min:"0s" max:"1h"`
+	Gap   strict.Duration `json:"gap,omitzero" min:"0s" max:"5m"`
+	Count int             `json:"count,omitzero" min:"0" max:"1000"`
+	X     float64         `json:"x,omitzero" min:"0" max:"1000"`
+	Core  bool            `json:"core,omitzero"` // machines with a disk
+	Zone  string          `json:"zone,omitzero"`
 }
 
 // ParseDay reads a day file; its faults are named by place.
@@ -47,6 +49,32 @@
 	return d, faults
 }
 
+// File is the day as a file, one event a line.
+func (d Day) File() []byte {
+	events := d.Events
+	d.Events = nil
+	head, err := json.Marshal(d)
+	if err != nil {
+		return nil // of texts and numbers alone: it cannot be
+	}
+	var b bytes.Buffer
+	b.Write(bytes.TrimSuffix(head, []byte("}")))
+	b.WriteString(", \"events\": [")
+	for i, e := range events {
+		line, err := json.Marshal(e)
+		if err != nil {
+			return nil
+		}
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString("\n  ")
+		b.Write(line)
+	}
+	b.WriteString("]}\n")
+	return b.Bytes()
+}
+
 // spec is the deployment that a day runs on.
 func (d Day) spec() Spec {
 	s := Desk(d.Seed)
--- a/bench/platform/ground.go
+++ b/bench/platform/ground.go
@@ -123,6 +123,9 @@
 	return g.logs[n.IP]
 }
 
+// Stop ends what the machines still do.
+func (g *Memory) Stop() { g.crew.Stop() }
+
 // Launch implements Ground.
 func (g *Memory) Launch(n *Node, settings []byte) (fleet.Process, error) {
 	m := g.Machine(n.IP)
--- a/bench/platform/spec.go
+++ b/bench/platform/spec.go
@@ -47,21 +47,21 @@
 type Class struct {
 	Name     string  `json:"name" need:"yes"`
 	Kind     string  `json:"kind" any:"stream read_only changing"`
-	PerS     float64 `json:"per_s" min:"0" max:"10000"` // in each zone
-	Aim      int     `json:"aim_ms" min:"1" max:"600000"`
-	Deadline int     `json:"deadline_ms" min:"1" max:"600000"`
-	Retries  int     `json:"retries" min:"0" max:"10"`
-	Tries    int     `json:"tries" min:"1" max:"10"`
-	Urgency  int     `json:"urgency" min:"0" max:"9"`
-	Gap      int     `json:"gap_ms" min:"0" max:"60000"`
-	PickUp   bool    `json:"pick_up"`
-	Shared   []int   `json:"shared"` // tokens of the parts that requests share
-	Things   []int   `json:"things"` // how many such parts there are, for each
-	Own      int     `json:"own"`    // tokens of its own part
-	Out      int     `json:"out"`    // tokens put out
-	Bytes    int     `json:"bytes"`  // of the body
-	Worth    float64 `json:"worth"`
-	Rude     float64 `json:"rude" min:"0" max:"1"` // share of clients that try again at once, and more often
+	PerS     float64 `json:"per_s,omitzero" min:"0" max:"10000"` // in each zone
+	Aim      int     `json:"aim_ms,omitzero" min:"1" max:"600000"`
+	Deadline int     `json:"deadline_ms,omitzero" min:"1" max:"600000"`
+	Retries  int     `json:"retries,omitzero" min:"0" max:"10"`
+	Tries    int     `json:"tries,omitzero" min:"1" max:"10"`
+	Urgency  int     `json:"urgency,omitzero" min:"0" max:"9"`
+	Gap      int     `json:"gap_ms,omitzero" min:"0" max:"60000"`
+	PickUp   bool    `json:"pick_up,omitzero"`
+	Shared   []int   `json:"shared,omitzero"` // tokens of the parts that requests share
+	Things   []int   `json:"things,omitzero"` // how many such parts there are, for each
+	Own      int     `json:"own,omitzero"`    // tokens of its own part
+	Out      int     `json:"out,omitzero"`    // tokens put out
+	Bytes    int     `json:"bytes,omitzero"`  // of the body
+	Worth    float64 `json:"worth,omitzero"`
+	Rude     float64 `json:"rude,omitzero" min:"0" max:"1"` // share of clients that try again at once, and more often
 }
 
 // Place is a machine of the system.
