--- a/bench/cmd/linedrum-bench/hunt.go
+++ b/bench/cmd/linedrum-bench/hunt.go
@@ -20,7 +20,7 @@
 	from                        uint64
 	seeds, jobs, shrinks, again int
 	jsonFile, folder, replay    string
-	say                         bool
+	say, draw                   bool
 }
 
 func (*huntCommand) Name() string { return "hunt" }
@@ -30,6 +30,7 @@
 func (*huntCommand) Usage() string {
 	return `linedrum-bench hunt [-from N] [-seeds N] [-jobs N] [-json FILE] [-folder FOLDER]
 linedrum-bench hunt -replay FILE [-say]
+linedrum-bench hunt -draw [-from N]
   Draws a day for each seed (docs/days.md), plays it with the product's own code on
   machines in memory, in virtual time, and judges it by our auditor. A day that
   breaks a rule is shrunk to the fewest events and printed as a day file.
@@ -47,6 +48,7 @@
 	f.StringVar(&c.jsonFile, "json", "", "where the report goes as JSON")
 	f.StringVar(&c.folder, "folder", "", "where the days of findings go as files")
 	f.StringVar(&c.replay, "replay", "", "play the day of a file instead, as it is")
+	f.BoolVar(&c.draw, "draw", false, "print the day of the first seed, and play nothing")
 	f.BoolVar(&c.say, "say", false, "tell what happens on a replayed day")
 }
 
@@ -55,6 +57,10 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
+	if c.draw {
+		_, _ = os.Stdout.Write(hunt.Draw(c.from).File())
+		return subcommands.ExitSuccess
+	}
 	h := hunt.Hunt{Shrinks: c.shrinks, Repeats: c.again, Progress: os.Stderr}
 	var say io.Writer
 	if c.replay != "" {
--- a/bench/hunt/draw.go
+++ b/bench/hunt/draw.go
@@ -198,6 +198,13 @@
 	{"seeds", atOnce},
 }
 
+// changes are those of the operator's that meet troubles.
+var changes = []kind{
+	{"config", how([]string{"timeout", "idle"}, atOnce)},
+	{"storm", repeated(4, time.Second)},
+	{"race", repeated(1, time.Second)},
+}
+
 // operator is what the operator does, and what happens to it.
 var operator = []kind{
 	{"config", how([]string{"timeout", "idle"}, atOnce)},
@@ -260,10 +267,20 @@
 		}
 		e.At = strict.Duration(from)
 		d.day.Events = append(d.day.Events, e)
+		if d.IntN(2) == 0 {
+			d.meet(e)
+		}
 		from = end
 	}
 }
 
+// meet has the operator change something while a trouble lasts.
+func (d *drawer) meet(trouble platform.Event) {
+	e, _ := d.one(changes)
+	e.At = strict.Duration(trouble.At.D() + d.between(0, max(trouble.For.D(), near)))
+	d.day.Events = append(d.day.Events, e)
+}
+
 // several draws events that may fall together with any others. Those that end before
 // the day's end do so before a closing fault.
 func (d *drawer) several(kinds []kind, count int) {
