A disk that refused a write writes its state anew and votes again

Cause: after one failed write or sync a disk said no until its process started anew, and stayed in the table as a voter, so that nobody replaced it. Now it has states: suspect from the failure on, recovering while its whole state is written to files of their own, then trusted. The first try follows at once, others after pauses of catch_up/64 to catch_up/8; from the first that fails the table says that the node serves no disk. A folder that cannot be opened is tried again, while the node serves without it; a damaged log is given up for an empty disk of another identity once the node holds a permit. At opening, the last segment is written anew and the folder synced, since a process that was killed may leave both unsynced. One ask serves a whole joint set, so that a slow disk's word that it is ready counts.

--- a/bench/virtual/days_test.go
+++ b/bench/virtual/days_test.go
@@ -32,6 +32,20 @@
 	d.log.Append(b, then)
 }
 func (d diskLog) Barrier(then func(error)) { d.log.Barrier(then) }
+func (d diskLog) Recover(state []register.Message, then func(error)) {
+	d.log.Recover(func() ([][]byte, error) { return pack(state) }, then)
+}
+
+func pack(state []register.Message) (out [][]byte, err error) {
+	for _, rec := range state {
+		b, err := wire.PackFrame("days", rec, wire.Cohort{})
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, b)
+	}
+	return out, nil
+}
 
 // TestKeysOnDisk keeps once-only keys at Dakar's rate on one disk, with a window
 // every 150 s, and looks at how much the data folder and the acceptor hold: it must
@@ -86,16 +100,7 @@
 			keys += 35 - a.Forgot()
 			if log.Since() > 8<<20 {
 				state := a.Picture()
-				log.Cut(func() (out [][]byte, err error) {
-					for _, rec := range state {
-						b, err := wire.PackFrame("days", rec, wire.Cohort{})
-						if err != nil {
-							return nil, err
-						}
-						out = append(out, b)
-					}
-					return out, nil
-				})
+				log.Cut(func() ([][]byte, error) { return pack(state) })
 			}
 			crew.Pause(context.Background(), time.Second)
 			if (second+1)%(minutes*15) == 0 {
--- a/bench/virtual/disk.go
+++ b/bench/virtual/disk.go
@@ -174,20 +174,6 @@
 	return &file{f, c}, nil
 }
 
-// Truncate implements wal.Files.
-func (f *Folder) Truncate(name string, size int64) error {
-	if err := f.enter(); err != nil {
-		return err
-	}
-	defer f.disk.mu.Unlock()
-	c, err := f.open(name)
-	if err == nil {
-		c.data = c.data[:size]
-		c.synced = len(c.data)
-	}
-	return err
-}
-
 // Rename implements wal.Files.
 func (f *Folder) Rename(from, to string) error {
 	if err := f.enter(); err != nil {
--- a/control/control.go
+++ b/control/control.go
@@ -173,6 +173,7 @@
 		Incarnation uint64 `json:"incarnation"`
 		Disk        string `json:"disk,omitempty"`
 		DiskTrusted *bool  `json:"disk_trusted,omitempty"`
+		DiskState   string `json:"disk_state,omitempty"`
 		Permit      bool   `json:"permit"`
 		PermitMS    int64  `json:"permit_ms"`
 		Stopping    bool   `json:"stopping"`
--- a/core/change.go
+++ b/core/change.go
@@ -154,8 +154,8 @@
 }
 
 // gone tells whether a disk of the set is to be replaced: at once where its machine is
-// back with another disk, after a moment where the table says that it departed, and
-// later where the table has not known it yet.
+// back with another disk, after a moment where the table says that it departed, or that
+// it is there and serves no disk, and later where the table has not known it yet.
 func (c *Core) gone(now time.Duration, d quorum.Disk, served map[string]calot.Entry, at map[string]string) bool {
 	if served[d.Identity].Addr != "" {
 		delete(c.change.absent, d.Identity)
@@ -167,8 +167,11 @@
 		c.change.absent[d.Identity] = now
 	}
 	wait := c.catchUp() / 2
-	if _, _, departed := c.Member.Known(d.Addr); departed {
+	switch _, alive, departed := c.Member.Known(d.Addr); {
+	case departed:
 		wait = c.catchUp() / 16
+	case alive:
+		wait = c.longestPause() // its disk is suspect or lost
 	}
 	if other := at[d.Addr]; other != "" && other != d.Identity {
 		wait = 0
@@ -182,6 +185,7 @@
 func (c *Core) finishChange(now time.Duration, set quorum.Set) {
 	if c.change.joint != set.Serial {
 		c.change.joint, c.change.since, c.change.spreadAt = set.Serial, now, 0
+		c.change.ask = c.ports.Uint64() // one for the whole change: a slow disk's word counts when it comes
 	}
 	if now >= c.change.spreadAt {
 		c.change.spreadAt = now + c.catchUp()/8
@@ -209,7 +213,6 @@
 		c.record(set, quorum.Set{Serial: set.Serial + 1, Disks: set.Disks, Next: c.wanted(now, set)})
 		return
 	}
-	c.change.ask = c.ports.Uint64()
 	for _, d := range set.Next {
 		if !set.Old(d.Identity) {
 			c.ports.Frame(d.Addr, register.Message{Kind: register.KindWho, Ask: c.change.ask, From: c.Self()}, wire.Cohort{})
@@ -225,7 +228,7 @@
 	if c.change.ready == nil {
 		c.change.ready = map[string]uint64{}
 	}
-	c.change.ready[m.Disk] = m.Base
+	c.change.ready[m.Disk] = max(c.change.ready[m.Disk], m.Base)
 }
 
 // spread sends a set to its disks and to the whole cohort.
--- a/core/core.go
+++ b/core/core.go
@@ -68,6 +68,7 @@
 	nextLook uint64
 	mend     mender
 	change   changer
+	recovery recovery
 	had      bool // a permit was held at the last tick
 	fleet    struct {
 		most int           // members alive at one time, in this life
@@ -85,7 +86,9 @@
 	}
 	identity := ""
 	if acceptor != nil {
-		identity = acceptor.Identity()
+		if acceptor.Trusted() {
+			identity = acceptor.Identity()
+		}
 		if len(s.FirstDisks()) == 0 {
 			acceptor.Late()
 		}
@@ -136,6 +139,7 @@
 		c.fleet.most, c.fleet.grew = alive, now
 	}
 	if c.Acceptor != nil {
+		c.tickDisk(now)
 		c.tickMend(now)
 	}
 	c.tickChange(now)
@@ -264,9 +268,7 @@
 		c.reseed()
 		c.mend.due = 0 // a disk that is admitted begins to copy at once
 	}
-	if c.Acceptor != nil {
-		c.Acceptor.Handle(register.Message{Kind: register.KindSet, Set: set}, func(register.Message) {})
-	}
+	c.tellDisk(set)
 }
 
 // reseed has the membership look for the seeds, and for the nodes of the voting disks:
--- a/core/mend.go
+++ b/core/mend.go
@@ -26,7 +26,7 @@
 		c.ports.Say(event.DiskPruned, event.Fields{"keys": forgot})
 	}
 	set := c.Holder.Set()
-	if now < c.mend.due || !set.Formed() || !set.Has(c.Acceptor.Identity()) {
+	if now < c.mend.due || !c.Acceptor.Trusted() || !set.Formed() || !set.Has(c.Acceptor.Identity()) {
 		return
 	}
 	c.mend.due = now + c.settings.Bounds.Recovery.D()/2
@@ -77,6 +77,9 @@
 	if c.Acceptor == nil || m.Ask != c.mend.ask || m.Disk != c.mend.from || !m.Yes {
 		return
 	}
+	if !c.Acceptor.Trusted() {
+		return // it takes no cells now: this round is never whole, and another one follows
+	}
 	if m.Kind == register.KindDigests {
 		c.mend.floor = m.Floor
 		for i, mine := range c.Acceptor.Digests() {
--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,9 @@
 	DutyGiven      Number = 212
 	DiskPruned     Number = 213
 	DiskSetDecided Number = 214
+	DiskRecovered  Number = 215
+	DiskUnopened   Number = 216
+	DiskReborn     Number = 217
 	DeskInForce    Number = 301
 	EnginesTaken   Number = 302
 	SitesTaken     Number = 303
@@ -68,7 +71,7 @@
 	DiskOpened:     "the data folder was opened and replayed",
 	DiskTorn:       "a torn tail was cut off the log",
 	DiskDamaged:    "the log is damaged before its end; this disk does not vote",
-	DiskFailed:     "a write or sync failed; this disk does not vote until restart",
+	DiskFailed:     "a write or sync failed; this disk does not vote until its state is written anew",
 	DiskFounded:    "the founders' disks formed the first disk set",
 	DiskSetTaken:   "a newer disk set was taken over",
 	FoundingStuck:  "the founders do not agree on one disk set",
@@ -77,6 +80,9 @@
 	DutyGiven:      "this node gave a duty up",
 	DiskPruned:     "once-only keys of windows below the floor were forgotten",
 	DiskSetDecided: "a change of the disk set was decided on a majority",
+	DiskRecovered:  "this disk's state was written anew; it votes again",
+	DiskUnopened:   "the data folder cannot be opened now; the node serves without its disk and tries again",
+	DiskReborn:     "the damaged log was given up for an empty disk of another identity",
 	DeskInForce:    "a desk file is in force on this node",
 	EnginesTaken:   "a list of engines is in force on this node",
 	SitesTaken:     "a state of the sites is in force on this node",
@@ -121,7 +127,7 @@
 	switch n {
 	case DiskDamaged, DiskFailed, FoundingStuck, StartBounced:
 		entry.Error(Catalogue[n])
-	case DiskTorn, PermitLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent, ListSilent:
+	case DiskTorn, DiskUnopened, DiskReborn, PermitLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent, ListSilent:
 		entry.Warn(Catalogue[n])
 	case RequestDone:
 		entry.Debug(Catalogue[n])
--- a/lease/interleave_test.go
+++ b/lease/interleave_test.go
@@ -19,9 +19,10 @@
 // sure is a log that syncs at once.
 type sure struct{}
 
-func (sure) Busy() bool                                  { return false }
-func (sure) Append(_ register.Message, then func(error)) { then(nil) }
-func (sure) Barrier(then func(error))                    { then(nil) }
+func (sure) Busy() bool                                     { return false }
+func (sure) Append(_ register.Message, then func(error))    { then(nil) }
+func (sure) Barrier(then func(error))                       { then(nil) }
+func (sure) Recover(_ []register.Message, then func(error)) { then(nil) }
 
 type evenly struct{}
 
--- a/node/disk.go
+++ b/node/disk.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"strings"
 
 	"github.com/juju/errors"
 
+	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/wal"
@@ -21,27 +23,35 @@
 )
 
 // diskLog is the acceptor's log port over the real log.
-type diskLog struct{ n *Node }
+type diskLog struct {
+	n        *Node
+	log      *wal.Log
+	acceptor *register.Acceptor
+}
 
-func (d diskLog) Busy() bool { return d.n.disk.Busy() }
+func (d *diskLog) Busy() bool { return d.log.Busy() }
 
-func (d diskLog) Append(rec register.Message, then func(error)) {
+func (d *diskLog) Append(rec register.Message, then func(error)) {
 	b, err := wire.PackFrame(d.n.settings.Fleet, rec, wire.Cohort{})
 	if err != nil {
 		then(err)
 		return
 	}
-	d.n.disk.Append(b, d.locked(then))
+	d.log.Append(b, d.locked(then))
 }
 
-func (d diskLog) Barrier(then func(error)) { d.n.disk.Barrier(d.locked(then)) }
+func (d *diskLog) Barrier(then func(error)) { d.log.Barrier(d.locked(then)) }
+
+func (d *diskLog) Recover(state []register.Message, then func(error)) {
+	d.log.Recover(func() ([][]byte, error) { return d.n.packRecords(state) }, d.locked(then))
+}
 
 // locked brings a continuation from the log's writer back under the core lock.
-func (d diskLog) locked(then func(error)) func(error) {
+func (d *diskLog) locked(then func(error)) func(error) {
 	return func(err error) {
 		d.n.mu.Lock()
 		defer d.n.mu.Unlock()
-		trusted := d.n.core.Acceptor.Trusted()
+		trusted := d.acceptor.Trusted()
 		then(err)
 		if trusted && err != nil && !errors.Is(err, wal.ErrStopped) {
 			d.n.log.Say(event.DiskFailed, event.Fields{"reason": err.Error()})
@@ -49,47 +59,181 @@
 	}
 }
 
-// openDisk opens the data folder and replays it. A folder that is damaged, or
-// that lost its identity, is a clear refusal to start (section 3.4).
-func (n *Node) openDisk() (*register.Acceptor, error) {
+// openedDisk is a data folder that was opened and replayed.
+type openedDisk struct {
+	folder   Folder
+	log      *wal.Log
+	acceptor *register.Acceptor
+	founders []string // who was to found the fleet when the disk was born
+}
+
+// awaitDisk begins to open the data folder, and waits for it, but not long: a node
+// whose disk hangs or refuses serves without it, and takes it when it can be opened.
+// A folder that another process uses is a clear refusal to start.
+func (n *Node) awaitDisk() error {
+	first := make(chan error, 1)
+	n.crew.Start(func(ctx context.Context) { n.keepOpening(ctx, first) })
+	ctx, cancel := context.WithTimeout(n.crew.Context(), n.settings.Bounds.InForce.D()/2)
+	defer cancel()
+	select {
+	case err := <-first:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// keepOpening tries to open the disk until it is open, with pauses that double up to a
+// bound; what became of the first try goes to first. A damaged log is given up once the
+// fleet has what it held.
+func (n *Node) keepOpening(ctx context.Context, first chan<- error) {
+	catchUp := n.settings.Bounds.CatchUp.D()
+	pause, said := catchUp/64, ""
+	for try := 0; ; try++ {
+		disk, err := n.openDisk()
+		if err == nil {
+			n.takeDisk(disk)
+			first <- nil
+			return
+		}
+		if errors.Is(err, wal.ErrInUse) && try == 0 {
+			first <- err
+			return
+		}
+		damaged := errors.Is(err, wal.ErrDamaged)
+		if reason := err.Error(); reason != said {
+			said = reason
+			n.sayUnopened(damaged, reason)
+		}
+		if try == 0 {
+			first <- nil
+		}
+		if damaged && n.awaitMajority(ctx) {
+			n.giveUpLog()
+		}
+		if !crew.Pause(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, catchUp/8)
+	}
+}
+
+func (n *Node) sayUnopened(damaged bool, reason string) {
+	number := event.DiskUnopened
+	if damaged {
+		number = event.DiskDamaged
+	}
+	n.log.Say(number, event.Fields{"data": n.settings.Data, "reason": reason})
+}
+
+// awaitMajority waits until this node holds a permit: a majority of the disks, of which
+// this one is none, then shows the same state. False when the node ends before that.
+func (n *Node) awaitMajority(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	whole := false
+	crew.Every(ctx, n.settings.Bounds.CatchUp.D()/64, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.core != nil && n.core.Keeper.Held() {
+			whole = true
+			cancel()
+		}
+	})
+	return whole
+}
+
+// giveUpLog empties the folder, so that the next opening makes a disk of another
+// identity that never founds. In this order, each step durable before the next, since a
+// part of the old log must never be read under the old identity.
+func (n *Node) giveUpLog() {
 	folder, err := n.host.Folder(n.settings.Data)
+	if err == nil {
+		err = emptyFolder(folder)
+		folder.Close()
+	}
 	if err != nil {
-		return nil, errors.Trace(err)
+		n.sayUnopened(false, err.Error())
+		return
+	}
+	n.log.Say(event.DiskReborn, event.Fields{"data": n.settings.Data})
+}
+
+func emptyFolder(folder Folder) error {
+	if err := wal.Put(folder, foundersFile, []byte("\n")); err != nil {
+		return errors.Trace(err)
 	}
-	n.folder = folder
-	identity, first, err := n.diskIdentity(folder)
-	if errors.Is(err, wal.ErrDamaged) {
-		n.log.Say(event.DiskDamaged, event.Fields{"data": n.settings.Data, "reason": err.Error()})
-		return nil, nil
+	if err := removeFiles(folder, func(name string) bool { return name == identityFile }); err != nil {
+		return errors.Trace(err)
 	}
+	return removeFiles(folder, wal.IsLogFile)
+}
+
+func removeFiles(folder Folder, which func(name string) bool) error {
+	names, err := folder.List()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, name := range names {
+		if !which(name) {
+			continue
+		}
+		if err := folder.Remove(name); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return errors.Trace(folder.SyncDir())
+}
+
+// takeDisk hands an open disk to the core, or keeps it for the core that is being made.
+func (n *Node) takeDisk(disk *openedDisk) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disk, n.folder, n.opened = disk.log, disk.folder, disk
+	n.crew.Start(disk.log.Run)
+	if n.core != nil {
+		n.core.Attach(disk.acceptor, n.settings.BornBy(disk.founders).FirstDisks())
+	}
+}
+
+// openDisk opens the data folder and replays it. Nothing of it is in use yet.
+func (n *Node) openDisk() (disk *openedDisk, err error) {
+	folder, err := n.host.Folder(n.settings.Data)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.firstDisks = first
-	acceptor := register.NewAcceptor(identity, n.settings.Listen, diskLog{n})
-	disk, report, err := wal.Open(folder, diskLimit, func(record []byte) error {
+	defer func() {
+		if err != nil {
+			folder.Close()
+		}
+	}()
+	identity, founders, err := n.diskIdentity(folder)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	port := &diskLog{n: n}
+	port.acceptor = register.NewAcceptor(identity, n.settings.Listen, port)
+	log, report, err := wal.Open(folder, diskLimit, func(record []byte) error {
 		rec, _, err := wire.UnpackFrame(n.settings.Fleet, record)
 		if err != nil {
 			return errors.Annotatef(wal.ErrDamaged, "a record cannot be read: %v", err)
 		}
-		acceptor.Replay(rec)
+		port.acceptor.Replay(rec)
 		return nil
 	})
-	if errors.Is(err, wal.ErrDamaged) {
-		// The disk does not vote, and nothing is written to it; the node serves on.
-		n.log.Say(event.DiskDamaged, event.Fields{"data": n.settings.Data, "reason": err.Error()})
-		return nil, nil
-	}
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	n.disk = disk
+	port.log = log
 	if report.Torn > 0 {
 		n.log.Say(event.DiskTorn, event.Fields{"file": report.TornFile, "bytes": report.Torn})
 	}
-	n.log.Say(event.DiskOpened, event.Fields{"disk": identity, "records": report.Records, "set": acceptor.Set().Serial})
-	n.crew.Start(func(ctx context.Context) { disk.Run(ctx) })
-	return acceptor, nil
+	n.log.Say(event.DiskOpened, event.Fields{"disk": identity, "records": report.Records, "set": port.acceptor.Set().Serial})
+	if report.Suspect != nil {
+		n.log.Say(event.DiskFailed, event.Fields{"reason": report.Suspect.Error()})
+		port.acceptor.Suspect()
+	}
+	return &openedDisk{folder: folder, log: log, acceptor: port.acceptor, founders: founders}, nil
 }
 
 // diskIdentity is born with the folder. Beside it stands for good who was to found the
@@ -97,28 +241,52 @@
 func (n *Node) diskIdentity(folder Folder) (identity string, first []string, err error) {
 	b, err := folder.Read(identityFile)
 	if err == nil {
-		// A folder that an older release made has no founders beside it: theirs are named.
-		names, _ := folder.Read(foundersFile)
-		return strings.TrimSpace(string(b)), strings.Fields(string(names)), nil
+		names, err := folder.Read(foundersFile)
+		if errors.Is(err, fs.ErrNotExist) {
+			err = nil // an older release made the folder: its founders are named in the settings
+		}
+		return strings.TrimSpace(string(b)), strings.Fields(string(names)), err
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return "", nil, err
 	}
 	names, err := folder.List()
 	if err != nil {
 		return "", nil, err
 	}
 	for _, name := range names {
-		if strings.HasSuffix(name, ".seg") || strings.HasSuffix(name, ".pic") {
+		if wal.IsLogFile(name) {
 			return "", nil, errors.Annotate(wal.ErrDamaged, "the folder has a log but no identity")
 		}
 	}
-	identity, first = fmt.Sprintf("%016x", n.rand.Uint64()), n.settings.FirstDisks()
+	identity, first = n.newIdentity(), n.settings.FirstDisks()
 	if b, err := folder.Read(foundersFile); err == nil {
 		first = strings.Fields(string(b)) // an earlier life came as far as this
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		return "", nil, err
 	} else if err = wal.Put(folder, foundersFile, []byte(strings.Join(first, "\n")+"\n")); err != nil {
 		return "", nil, err
 	}
 	return identity, first, wal.Put(folder, identityFile, []byte(identity+"\n"))
 }
 
+func (n *Node) newIdentity() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fmt.Sprintf("%016x", n.rand.Uint64())
+}
+
+func (n *Node) packRecords(records []register.Message) (packed [][]byte, err error) {
+	for _, rec := range records {
+		b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		packed = append(packed, b)
+	}
+	return packed, nil
+}
+
 // cutLog keeps the log short: a picture of the state takes the place of what is
 // before it. Called under mu.
 func (n *Node) cutLog() {
@@ -127,15 +295,5 @@
 		return
 	}
 	state := acceptor.Picture() // copied here; packed on the log's writer
-	n.disk.Cut(func() ([][]byte, error) {
-		var picture [][]byte
-		for _, rec := range state {
-			b, err := wire.PackFrame(n.settings.Fleet, rec, wire.Cohort{})
-			if err != nil {
-				return nil, err
-			}
-			picture = append(picture, b)
-		}
-		return picture, nil
-	})
+	n.disk.Cut(func() ([][]byte, error) { return n.packRecords(state) })
 }
--- a/node/node.go
+++ b/node/node.go
@@ -45,19 +45,18 @@
 
 	// mu is the core lock: the core is called under it, and it is held for short
 	// steps only. Order: gate, mu, engines, innermost locks (section 7.2).
-	mu     sync.Mutex
-	rand   *rand.Rand
-	core   *core.Core
-	disk   *wal.Log
-	folder Folder
-	// firstDisks is who was to found the fleet when this machine's disk was born.
-	firstDisks []string
-	picture    serve.Picture
-	tableNews  tableNews
-	desks      desks
-	planner    map[string]*roles.Planner // of the duties' own goroutine
-	rivals     map[string]*core.Rivalry  // of the duties' own goroutine
-	window     struct {                  // of the duties' own goroutine: the newest window seen, and since when
+	mu        sync.Mutex
+	rand      *rand.Rand
+	core      *core.Core
+	disk      *wal.Log
+	folder    Folder
+	opened    *openedDisk // nil until the data folder is open
+	picture   serve.Picture
+	tableNews tableNews
+	desks     desks
+	planner   map[string]*roles.Planner // of the duties' own goroutine
+	rivals    map[string]*core.Rivalry  // of the duties' own goroutine
+	window    struct {                  // of the duties' own goroutine: the newest window seen, and since when
 		serial uint64
 		since  time.Duration
 	}
@@ -119,9 +118,7 @@
 	n.crew = crew.New(context.Background())
 	n.cleanup.Add(func() {
 		n.crew.Stop()
-		if n.folder != nil {
-			n.folder.Close()
-		}
+		n.closeFolder()
 	})
 	n.bus = bus.New(n.crew)
 	n.cleanup.Add(n.bus.Close)
@@ -129,17 +126,12 @@
 	if n.link, err = link.Open(s.Fleet, host.Form, s.Listen, recovery/12, n.crew, host.Net); err != nil {
 		return nil, errors.Trace(err)
 	}
-	var acceptor *register.Acceptor
 	if s.Data != "" {
-		if acceptor, err = n.openDisk(); err != nil {
+		if err = n.awaitDisk(); err != nil {
 			return nil, errors.Trace(err)
 		}
 	}
-	known := s
-	if acceptor != nil {
-		known = s.BornBy(n.firstDisks)
-	}
-	n.core = core.New(known, acceptor, ports{n})
+	n.makeCore()
 	n.budget = ledger.NewBudget(s.Bounds.RetryShare, s.Bounds.RetryExtra, s.Bounds.RetryWindow.D(), s.Size, n.clock.Now())
 	if n.speech == nil {
 		n.speech = speech.New(host.Net, s.Bounds.InForce.D()/4, int64(s.Limits.Body))
@@ -185,6 +177,25 @@
 	return n, nil
 }
 
+// makeCore makes the core with the disk, where that is open by now.
+func (n *Node) makeCore() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.opened == nil {
+		n.core = core.New(n.settings, nil, ports{n})
+		return
+	}
+	n.core = core.New(n.settings.BornBy(n.opened.founders), n.opened.acceptor, ports{n})
+}
+
+func (n *Node) closeFolder() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.folder != nil {
+		n.folder.Close()
+	}
+}
+
 func (n *Node) makeFaces(makers []func(*Node) (Face, error)) error {
 	if len(makers) == 0 {
 		makers = append(makers, Own)
--- a/node/status.go
+++ b/node/status.go
@@ -5,6 +5,7 @@
 
 	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/core"
+	"linedrum.example/linedrum/register"
 )
 
 // KnowsSite tells whether a node or an engine is at a site, or it was emptied.
@@ -31,9 +32,10 @@
 	now := n.clock.Now()
 	self := n.core.Member.Self()
 	s.Node.Addr, s.Node.Site, s.Node.Incarnation, s.Node.Disk = self.Addr, self.Site, self.Incarnation, self.Disk
-	if n.core.Acceptor != nil {
-		trusted := n.core.Acceptor.Trusted()
-		s.Node.DiskTrusted = &trusted
+	if n.settings.Data != "" {
+		state := n.diskState()
+		trusted := state == register.DiskTrusted
+		s.Node.DiskTrusted, s.Node.DiskState = &trusted, state.String()
 	}
 	s.Node.Permit = n.core.Keeper.Held()
 	s.Node.PermitMS = max((n.core.Keeper.Until() - now).Milliseconds(), 0)
@@ -64,6 +66,14 @@
 	return s
 }
 
+// diskState of this machine's disk, also while it is not open. Called under mu.
+func (n *Node) diskState() register.DiskState {
+	if n.core.Acceptor == nil {
+		return register.DiskLost
+	}
+	return n.core.Acceptor.State()
+}
+
 func (t *engines) status(now time.Duration) []control.EngineStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -7,16 +7,37 @@
 	"sort"
 	"time"
 
+	"github.com/juju/errors"
+
 	"linedrum.example/linedrum/quorum"
 )
 
-// Log is the disk below an acceptor. Both calls come back through then, in
-// order, once everything appended so far is synced, or with the error that
-// makes this disk untrusted until its process starts anew.
+// Log is the disk below an acceptor. Its calls come back through then, in the order
+// in which they were made: once everything appended so far is synced, or with the error
+// that makes this disk suspect. From an error on everything fails until a recovery.
 type Log interface {
 	Busy() bool
 	Append(record Message, then func(error))
 	Barrier(then func(error))
+	// Recover writes records that rebuild the whole state to new files; without an
+	// error the log takes records again behind them.
+	Recover(state []Message, then func(error))
+}
+
+// DiskState is how far a disk can be relied on (section 3.4).
+type DiskState uint8
+
+// States of a disk.
+const (
+	DiskTrusted    DiskState = iota
+	DiskSuspect              // a write or sync failed: it says no to everything
+	DiskRecovering           // its state is being written anew; it says no to everything
+	DiskLost                 // its log is damaged or cannot be opened: it has no state to write
+)
+
+// String names a state.
+func (s DiskState) String() string {
+	return [...]string{"trusted", "suspect", "recovering", "lost"}[s&3]
 }
 
 // Clock is boot time.
@@ -41,7 +62,7 @@
 	windows  map[uint64][]string      // passing keys held, by window
 	floor    uint64                   // windows below it are forgotten (section 3.7)
 	forgot   int
-	failed   bool
+	state    DiskState
 	late     bool
 }
 
@@ -60,8 +81,34 @@
 // Set is the disk set that this disk knows.
 func (a *Acceptor) Set() quorum.Set { return a.set }
 
-// Trusted is false after a failed sync, until the process starts anew.
-func (a *Acceptor) Trusted() bool { return !a.failed }
+// State says how far the disk can be relied on.
+func (a *Acceptor) State() DiskState { return a.state }
+
+// Trusted tells whether the disk votes: not from a failed write or sync on, until its
+// whole state is durable again.
+func (a *Acceptor) Trusted() bool { return a.state == DiskTrusted }
+
+// Suspect notes that the disk could not be written when its log was opened.
+func (a *Acceptor) Suspect() { a.state = DiskSuspect }
+
+// Recover has the state in memory written whole to new files, and the disk vote again
+// once it is durable. From the failure until then the disk says no to everything, so
+// that the state stays as it was. It may hold promises and cells whose senders were
+// refused when the write failed: to those the outcome is open, as if a reply had been
+// lost, and whatever was said yes to is in it too.
+func (a *Acceptor) Recover(then func(error)) {
+	if a.state != DiskSuspect {
+		return
+	}
+	a.state = DiskRecovering
+	a.log.Recover(a.Picture(), func(err error) {
+		a.state = DiskTrusted
+		if err != nil {
+			a.state = DiskSuspect
+		}
+		then(err)
+	})
+}
 
 // Replay applies one record from the log, at start.
 func (a *Acceptor) Replay(rec Message) {
@@ -185,7 +232,7 @@
 		reply(out)
 	}
 	switch {
-	case a.failed:
+	case !a.Trusted():
 		no(ReasonDisk)
 		return
 	case a.log.Busy():
@@ -293,13 +340,20 @@
 func (a *Acceptor) then(out Message, reply func(Message)) func(error) {
 	return func(err error) {
 		if err != nil {
-			a.failed = true
+			a.fail()
 			out = Message{Kind: KindReply, Ask: out.Ask, From: a.addr, Disk: a.identity, Key: out.Key, Reason: ReasonDisk}
 		}
 		reply(out)
 	}
 }
 
+// fail makes a trusted disk suspect.
+func (a *Acceptor) fail() {
+	if a.state == DiskTrusted {
+		a.state = DiskSuspect
+	}
+}
+
 func (a *Acceptor) prepare(in, out Message, reply func(Message)) {
 	var promised Epoch
 	if s := a.slots[in.Key]; s != nil {
@@ -380,7 +434,7 @@
 // even below its promise: whoever got that promise got one from a majority of
 // the old disks too, and so has seen what was chosen there (section 3.8).
 func (a *Acceptor) Mend(kc KeyCell, admitted bool) bool {
-	if a.failed || kc.Cell.Serial == 0 {
+	if !a.Trusted() || kc.Cell.Serial == 0 {
 		return false
 	}
 	s := a.slots[kc.Key]
@@ -397,11 +451,23 @@
 	return true
 }
 
+// ErrSuspect is given to what a disk cannot make durable now.
+const ErrSuspect = errors.ConstError("the disk is not trusted")
+
 // Raise lifts the floor to that of the disks that a new disk copied from; then
 // runs once that and all that was mended before it is synced.
 func (a *Acceptor) Raise(floor uint64, then func(error)) {
+	if !a.Trusted() {
+		then(ErrSuspect)
+		return
+	}
 	a.raise(floor)
-	a.log.Append(Message{Kind: KindPrune, Floor: a.floor}, then)
+	a.log.Append(Message{Kind: KindPrune, Floor: a.floor}, func(err error) {
+		if err != nil {
+			a.fail()
+		}
+		then(err)
+	})
 }
 
 // Ranges is how many ranges the digests cut the keys into.
--- a/register/acceptor_test.go
+++ b/register/acceptor_test.go
@@ -33,6 +33,15 @@
 	then(nil)
 }
 
+func (d *disk) Recover(state []Message, then func(error)) {
+	if d.fails {
+		then(errors.New("no"))
+		return
+	}
+	d.records = append([]Message(nil), state...)
+	then(nil)
+}
+
 func formed(d *disk) *Acceptor {
 	a := NewAcceptor("a", "addr", d)
 	a.Replay(Message{Kind: KindSet, Set: quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}})
--- a/register/founder.go
+++ b/register/founder.go
@@ -40,14 +40,24 @@
 
 // NewFounder makes one; extra lists further nodes with disks, from the table.
 func NewFounder(self string, founders, seeds []string, acceptor *Acceptor, clock Clock, net Net, ports FounderPorts, every time.Duration, firstAsk uint64, extra func() []string) *Founder {
-	sorted := append([]string(nil), founders...)
-	sort.Strings(sorted)
 	return &Founder{
-		self: self, founders: sorted, seeds: seeds, acceptor: acceptor, clock: clock, net: net, ports: ports,
+		self: self, founders: sortedCopy(founders), seeds: seeds, acceptor: acceptor, clock: clock, net: net, ports: ports,
 		every: every, ask: firstAsk, extra: extra,
 	}
 }
 
+func sortedCopy(addrs []string) []string {
+	out := slices.Clone(addrs)
+	sort.Strings(out)
+	return out
+}
+
+// Attach takes a disk that could be opened only now, with the founders that it was
+// born with.
+func (f *Founder) Attach(acceptor *Acceptor, founders []string) {
+	f.acceptor, f.founders = acceptor, sortedCopy(founders)
+}
+
 // Tick asks around while the set is unknown, and now and then afterwards.
 func (f *Founder) Tick(known quorum.Set) {
 	now := f.clock.Now()
--- a/sim/world.go
+++ b/sim/world.go
@@ -366,13 +366,14 @@
 	Identity string
 	Delay    time.Duration
 	Stalled  bool
-	Fails    bool // the next sync fails
+	Fails    bool // writes and syncs fail
 
 	born     bool
 	first    []string // who was to found the fleet when it was born
 	durable  []register.Message
 	waiting  []pendingRecord
 	syncing  bool
+	doubtful []pendingRecord // of the block that failed: it may be there after a restart
 	failed   bool
 	life     int
 	Syncs    int
@@ -431,6 +432,9 @@
 	d.syncing = false
 	var err error
 	if d.Fails || d.failed {
+		if !d.failed {
+			d.doubtful = batch
+		}
 		d.failed = true
 		err = fmt.Errorf("the disk failed")
 	}
@@ -451,6 +455,30 @@
 	d.sync()
 }
 
+// Recover implements register.Log: what waits fails first, then the state takes the
+// place of all records at one moment, or of none where the disk fails.
+func (d *Disk) Recover(state []register.Message, then func(error)) {
+	life := d.life
+	d.node.World.At(2*d.Delay, func() { d.recover(life, state, then) })
+}
+
+func (d *Disk) recover(life int, state []register.Message, then func(error)) {
+	switch {
+	case life != d.life:
+		return
+	case d.Stalled || d.syncing:
+		d.node.World.At(10*time.Millisecond, func() { d.recover(life, state, then) })
+		return
+	}
+	var err error
+	if d.Fails {
+		err = fmt.Errorf("the disk failed")
+	} else {
+		d.durable, d.doubtful, d.failed = slices.Clone(state), nil, false
+	}
+	d.node.enter(func() { then(err) })
+}
+
 // crash loses what waited; without power loss the system may still have written
 // a part of it, in order.
 func (d *Disk) crash(power bool) {
@@ -462,7 +490,14 @@
 			}
 		}
 	}
-	d.waiting, d.syncing = nil, false
+	if len(d.doubtful) > 0 && d.node.World.Rand.IntN(2) == 0 {
+		for _, p := range d.doubtful {
+			if p.rec != nil {
+				d.durable = append(d.durable, *p.rec)
+			}
+		}
+	}
+	d.waiting, d.doubtful, d.syncing = nil, nil, false
 }
 
 func (d *Disk) restart() { d.life++; d.failed, d.Fails, d.Stalled = false, false, false }
--- a/wal/folder.go
+++ b/wal/folder.go
@@ -69,19 +69,6 @@
 	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
 }
 
-// Truncate implements Files; the cut is synced before it counts.
-func (f *Folder) Truncate(name string, size int64) error {
-	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	if err := file.Truncate(size); err != nil {
-		return err
-	}
-	return file.Sync()
-}
-
 // Rename implements Files.
 func (f *Folder) Rename(from, to string) error {
 	return os.Rename(filepath.Join(f.path, from), filepath.Join(f.path, to))
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -45,11 +45,6 @@
 	m.written[name] = nil
 	return &memFile{m, name}, nil
 }
-func (m *memory) Truncate(name string, size int64) error {
-	m.written[name] = m.written[name][:size]
-	m.durable[name] = m.written[name]
-	return nil
-}
 func (m *memory) Rename(from, to string) error {
 	m.written[to], m.durable[to] = m.written[from], m.durable[from]
 	delete(m.written, from)
