Power is lost at each step of a log's life; numbers of tries leave no gap

It found: the number of a left temporary file made a gap in the segments at the next opening, which was read as damage; a last segment without records was not written anew.

--- a/wal/wal.go
+++ b/wal/wal.go
@@ -79,7 +79,6 @@
 	last    segmentFile // the last live segment
 	// unfinished is the number of a snapshot that has no picture yet, 0 where there is none.
 	unfinished uint64
-	highest    uint64 // number of any file
 }
 
 // segmentFile is a segment as it was read: whole up to good.
@@ -152,7 +151,7 @@
 	if err != nil {
 		return nil, report, err
 	}
-	l := &Log{files: files, limit: limit, wake: make(chan struct{}, 1), segment: report.highest}
+	l := &Log{files: files, limit: limit, wake: make(chan struct{}, 1), segment: report.last.number}
 	if err := l.prepare(report); err != nil {
 		report.Suspect = errors.Annotate(err, "opening")
 		l.fail(report.Suspect)
@@ -179,8 +178,8 @@
 		}
 		return l.finishSnapshot(at)
 	}
-	if last := report.last; len(last.data) > len(magic) || report.Torn > 0 {
-		if err := l.rewrite(last); err != nil {
+	if report.Segments > 0 {
+		if err := l.rewrite(report.last); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -278,7 +277,6 @@
 	if err != nil {
 		return report, errors.Annotate(err, "data folder")
 	}
-	report.highest = highestNumber(names)
 	each := func(r []byte) error { report.Records++; return replay(r) }
 	from := newestBase(names)
 	if from.ending != "" {
