--- a/register/acceptor_test.go
+++ b/register/acceptor_test.go
@@ -128,6 +128,104 @@
 	})
 }
 
+// heldDisk is a log whose recovery ends when the test says so.
+type heldDisk struct {
+	disk
+	state   []Message
+	recover func(error)
+}
+
+func (d *heldDisk) Recover(state []Message, then func(error)) { d.state, d.recover = state, then }
+
+func TestRecovery(t *testing.T) {
+	Convey("a suspect disk votes again only once its whole state is durable, and nothing changes that state before", t, func() {
+		d := &heldDisk{}
+		a := NewAcceptor("a", "addr", d)
+		set := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
+		a.Replay(Message{Kind: KindSet, Set: set})
+		said := Cell{Epoch: epoch(1, "h"), Serial: 1, Op: "said yes to"}
+		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: said.Epoch, Cell: said}).Yes, ShouldBeTrue)
+		refused := Cell{Epoch: epoch(2, "h"), Serial: 2, Op: "refused"}
+		d.fails = true
+		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: refused.Epoch, Cell: refused}).Reason, ShouldEqual, ReasonDisk)
+		d.fails = false
+		So(a.State(), ShouldEqual, DiskSuspect)
+		before := a.Picture()
+		messages := []Message{
+			{Kind: KindPrepare, Key: "desk", Epoch: epoch(9, "z")},
+			{Kind: KindAccept, Key: "desk", Epoch: epoch(9, "z"), Cell: Cell{Epoch: epoch(9, "z"), Serial: 3}},
+			{Kind: KindQuery, Cells: []KeyCell{{Key: "desk"}}},
+			{Kind: KindDigest}, {Kind: KindRange}, {Kind: KindWho},
+			{Kind: KindPledge, Pledge: set},
+		}
+		saysNo := func() {
+			for _, m := range messages {
+				out := say(a, m)
+				So(out.Yes, ShouldBeFalse)
+				So(out.Reason, ShouldEqual, ReasonDisk)
+			}
+			a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 2, Disks: set.Disks}}, func(out Message) { So(out.Yes, ShouldBeFalse) })
+			So(a.Mend(KeyCell{Key: "sites", Cell: Cell{Epoch: epoch(9, "z"), Serial: 1}}, true), ShouldBeFalse)
+			a.Raise(5, func(err error) { So(err, ShouldEqual, ErrSuspect) })
+			So(a.Picture(), ShouldResemble, before)
+		}
+		saysNo()
+		var ended error
+		a.Recover(func(err error) { ended = err })
+		So(a.State(), ShouldEqual, DiskRecovering)
+		saysNo()
+		d.recover(errors.New("still full"))
+		So(ended, ShouldNotBeNil)
+		So(a.State(), ShouldEqual, DiskSuspect)
+		saysNo()
+		a.Recover(func(err error) { ended = err })
+		So(d.state, ShouldResemble, before)
+		d.recover(nil)
+		So(ended, ShouldBeNil)
+		So(a.Trusted(), ShouldBeTrue)
+		So(say(a, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(9, "z")}).Cell.Op, ShouldEqual, "refused")
+		// What is on the disk rebuilds the same state, with what was said yes to meanwhile.
+		again := NewAcceptor("a", "addr", &disk{})
+		for _, rec := range append(d.state, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(9, "z")}) {
+			again.Replay(rec)
+		}
+		So(again.Picture(), ShouldResemble, a.Picture())
+	})
+	Convey("each way to the log that is refused makes the disk suspect", t, func() {
+		for name, do := range map[string]func(a *Acceptor){
+			"prepare": func(a *Acceptor) { say(a, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(1, "h")}) },
+			"accept": func(a *Acceptor) {
+				say(a, Message{Kind: KindAccept, Key: "desk", Epoch: epoch(1, "h"), Cell: Cell{Epoch: epoch(1, "h"), Serial: 1}})
+			},
+			"query": func(a *Acceptor) { say(a, Message{Kind: KindQuery}) },
+			"set": func(a *Acceptor) {
+				a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 2, Disks: a.Set().Disks}}, func(Message) {})
+			},
+			"mend":  func(a *Acceptor) { a.Mend(KeyCell{Key: "desk", Cell: Cell{Epoch: epoch(1, "h"), Serial: 1}}, false) },
+			"raise": func(a *Acceptor) { a.Raise(3, func(error) {}) },
+		} {
+			d := &disk{fails: true}
+			a := formed(d)
+			do(a)
+			SoMsg(name, a.State(), ShouldEqual, DiskSuspect)
+			d.fails = false
+			a.Recover(func(error) {})
+			SoMsg(name, a.State(), ShouldEqual, DiskTrusted)
+		}
+	})
+	Convey("a pledge that was refused stands after the recovery, and no other is given", t, func() {
+		d := &disk{fails: true}
+		a := NewAcceptor("a", "addr", d)
+		mine := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
+		other := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}, {Identity: "b", Addr: "b"}}}
+		So(say(a, Message{Kind: KindPledge, Pledge: mine}).Yes, ShouldBeFalse)
+		d.fails = false
+		a.Recover(func(error) {})
+		So(say(a, Message{Kind: KindPledge, Pledge: other}).Yes, ShouldBeFalse)
+		So(say(a, Message{Kind: KindPledge, Pledge: mine}).Yes, ShouldBeTrue)
+	})
+}
+
 func TestPicture(t *testing.T) {
 	Convey("a picture rebuilds promises above what was accepted, the floor, the set and the pledge", t, func() {
 		a := formed(&disk{})
--- a/wal/power_test.go
+++ b/wal/power_test.go
@@ -357,10 +357,17 @@
 
 // holds says what a disk lacks that was said yes to, or has that nobody wrote.
 func holds(d *steps, said, written map[string]int) error {
-	got, err := startOwner(d)
+	opened, err := startOwner(d)
 	if err != nil {
 		return err
 	}
+	got, err := startOwner(d.killed()) // opening must not have lost anything itself
+	if err != nil {
+		return fmt.Errorf("opened for the second time: %w", err)
+	}
+	if !maps.Equal(got.state, opened.state) {
+		return fmt.Errorf("%v is held, and after an opening %v", opened.state, got.state)
+	}
 	for key, version := range said {
 		if got.state[key] < version {
 			return fmt.Errorf("%s=%d was said, %d is held", key, version, got.state[key])
