--- a/sim/disks_test.go
+++ b/sim/disks_test.go
@@ -237,3 +237,59 @@
 		}
 	})
 }
+
+func TestSlowNewDisk(t *testing.T) {
+	Convey("a new disk that takes long to sync is heard to be ready", t, func() {
+		first, last := seeds(4)
+		for seed := first; seed <= last; seed++ {
+			w := calm(seed, small, 3)
+			lost := w.voters()[w.Rand.IntN(3)]
+			lost.Crash(true)
+			lost.NewDisk()
+			lost.Disk.Delay = 100 * time.Millisecond
+			w.Run(300 * time.Millisecond)
+			lost.Start()
+			identity, bound := lost.Disk.Identity, lost.Settings.Bounds.CatchUp.D()
+			if !w.Until(bound, func() bool { set := w.Set(); return len(set.Next) == 0 && set.Old(identity) }) {
+				t.Errorf("seed %d: %+v", seed, w.Set())
+			}
+		}
+	})
+}
+
+func TestCatchingUp(t *testing.T) {
+	Convey("a disk that missed hundreds of changes holds them within the bound, and its node serves none of the old ones", t, func() {
+		first, last := seeds(2)
+		worst := time.Duration(0)
+		for seed := first; seed <= last; seed++ {
+			w := calm(seed, small, 3)
+			lost := w.voters()[w.Rand.IntN(3)]
+			other := w.voters()[0]
+			if other == lost {
+				other = w.voters()[1]
+			}
+			So(write(w, w.Nodes[5], core.KeyDesk, 0, "old").Outcome, ShouldEqual, register.Done)
+			lost.Crash(false)
+			for serial := range uint64(320) {
+				So(write(w, w.Nodes[5], core.KeyDesk, serial+1, fmt.Sprint(serial)).Outcome, ShouldEqual, register.Done)
+			}
+			served := map[string]bool{}
+			lost.OnAdopt = func(key string, cell register.Cell) { served[key+string(cell.Value)] = true }
+			lost.Start()
+			began, bound := w.Now(), lost.Settings.Bounds.CatchUp.D()
+			So(w.Until(bound, func() bool {
+				digests := lost.Core.Acceptor.Digests()
+				for i, digest := range other.Core.Acceptor.Digests() {
+					if digests[i] != digest {
+						return false
+					}
+				}
+				return lost.Core.Keeper.Held()
+			}), ShouldBeTrue)
+			worst = max(worst, w.Now()-began)
+			So(served[core.KeyDesk+"old"], ShouldBeFalse)
+			So(served[core.KeyDesk+"319"], ShouldBeTrue)
+		}
+		t.Logf("320 changes were held after at most %v", worst)
+	})
+}
