The core counts as settled while one of its machines is down, cut off or frozen for long

The auditor let everything pass for as long as any of its machines was in trouble. Findings are told as they come.

--- a/bench/hunt/hunt.go
+++ b/bench/hunt/hunt.go
@@ -96,6 +96,9 @@
 	if l.hunt.Progress != nil {
 		fmt.Fprintf(l.hunt.Progress, "%d/%d %s: %d events, %d of %d served, %s (%d findings, %.0f s)\n",
 			r.Days, len(l.hunt.Days), d.Name, len(d.Events), out.Served, out.Asked, verdict, len(r.Findings), r.Took.Seconds())
+		if f != nil {
+			f.print(l.hunt.Progress)
+		}
 	}
 }
 
--- a/bench/hunt/report.go
+++ b/bench/hunt/report.go
@@ -41,15 +41,19 @@
 		fmt.Fprintf(w, "  %-20s %d\n", c.Kind, c.Count)
 	}
 	for _, f := range r.Findings {
-		fmt.Fprintf(w, "\nseed %d broke %s; shrunk to %d of %d events in %d plays, fails in %d of %d\n",
-			f.Seed, joined(f.Rules), len(f.Shrunk.Events), len(f.Drawn.Events), f.Plays, f.Failed, f.Repeats)
-		for _, b := range f.Breaches {
-			fmt.Fprintf(w, "  %s\n", b)
-		}
-		_, _ = w.Write(f.Shrunk.File())
+		f.print(w)
 	}
 }
 
+func (f Finding) print(w io.Writer) {
+	fmt.Fprintf(w, "\nseed %d broke %s; shrunk to %d of %d events in %d plays, fails in %d of %d\n",
+		f.Seed, joined(f.Rules), len(f.Shrunk.Events), len(f.Drawn.Events), f.Plays, f.Failed, f.Repeats)
+	for _, b := range f.Breaches {
+		fmt.Fprintf(w, "  %s\n", b)
+	}
+	_, _ = w.Write(f.Shrunk.File())
+}
+
 // JSON writes the report for programs.
 func (r Report) JSON(w io.Writer) error {
 	if r.Findings == nil {
--- a/bench/platform/audit.go
+++ b/bench/platform/audit.go
@@ -89,12 +89,24 @@
 func (a *auditor) inTouch(node string, from, to time.Time) bool {
 	touch := msOf(a.bounds.InTouch)
 	near := from.Add(-touch)
-	if node == "" || a.upset(node, false, near, to) || a.upset("", true, near, to) {
+	if node == "" || a.upset(node, false, near, to) || a.unsettled(near, to) {
 		return false
 	}
 	return 2*len(a.struck(from.Add(-2*touch), to)) < a.core
 }
 
+// unsettled tells whether something began or ended at the core within a span. What
+// lasts longer unsettles it no more, while most of it is well; nor do disks.
+func (a *auditor) unsettled(from, to time.Time) bool {
+	within := func(at time.Time) bool { return at.After(from) && at.Before(to) }
+	for _, u := range a.ev.Upsets {
+		if u.Core && u.What != "disk" && (within(u.From) || within(u.To)) {
+			return true
+		}
+	}
+	return false
+}
+
 // outer tells whether the bounds of configurations and evacuations hold, stretched, for
 // a machine while the core is unsettled: no trouble at it, and most of the core has run
 // all through, without trouble.
--- a/bench/platform/audit_test.go
+++ b/bench/platform/audit_test.go
@@ -100,12 +100,22 @@
 		{"CONFIG", "a dropped route that is served on beyond the stretch, while the core is unsettled", func(ev *Evidence, t0 time.Time) {
 			ev.Tries[30].Host, ev.Tries[30].Target = "check.example", "/idle13/x"
 			ev.Arrivals[30].Host, ev.Arrivals[30].Target = "check.example", "/idle13/x"
-			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(22 * time.Second), Node: "n2", Core: true, What: "freeze"})
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(39 * time.Second), Node: "n2", Core: true, What: "freeze"})
 		}},
 		{"", "a dropped route that is served on within the stretch, while the core is unsettled", func(ev *Evidence, t0 time.Time) {
 			ev.Tries[16].Host, ev.Tries[16].Target = "check.example", "/idle13/x"
 			ev.Arrivals[16].Host, ev.Arrivals[16].Target = "check.example", "/idle13/x"
-			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(22 * time.Second), Node: "n2", Core: true, What: "freeze"})
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(24 * time.Second), Node: "n2", Core: true, What: "freeze"})
+		}},
+		{"CONFIG", "a dropped route that is served on, long after one machine of the core was cut off", func(ev *Evidence, t0 time.Time) {
+			ev.Tries[16].Host, ev.Tries[16].Target = "check.example", "/idle13/x"
+			ev.Arrivals[16].Host, ev.Arrivals[16].Target = "check.example", "/idle13/x"
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(22 * time.Second), Node: "n2", Core: true, What: "cut"})
+		}},
+		{"CONFIG", "a dropped route that is served on, while a disk of the core is in trouble", func(ev *Evidence, t0 time.Time) {
+			ev.Tries[16].Host, ev.Tries[16].Target = "check.example", "/idle13/x"
+			ev.Arrivals[16].Host, ev.Arrivals[16].Target = "check.example", "/idle13/x"
+			ev.Upsets = append(ev.Upsets, &Upset{From: t0.Add(24 * time.Second), Node: "n2", Core: true, What: "disk"})
 		}},
 		{"EVAC", "an emptied zone beyond the stretch, while the core is unsettled", func(ev *Evidence, t0 time.Time) {
 			ev.Acts = append(ev.Acts, &Act{Kind: "evacuate", Zone: "hall-a", Sent: t0.Add(12 * time.Second), Ended: t0.Add(13 * time.Second), Status: 200})
