--- a/bench/hunt/hunt.go
+++ b/bench/hunt/hunt.go
@@ -51,6 +51,9 @@
 	if h.Shrinks == 0 {
 		return out, f
 	}
+	if h.Progress != nil {
+		fmt.Fprintf(h.Progress, "%s broke %s and is shrunk\n", d.Name, joined(rules))
+	}
 	f.Shrunk, f.Plays = Shrink(d, rules, h.Shrinks, play)
 	for range h.Repeats {
 		f.Repeats++
--- a/bench/hunt/hunt_test.go
+++ b/bench/hunt/hunt_test.go
@@ -156,6 +156,7 @@
 		So(len(back.Findings), ShouldEqual, 1)
 		So(len(back.Findings[0].Shrunk.Events), ShouldEqual, 3)
 		So(back.Findings[0].Failed, ShouldEqual, 2)
+		So(progress.String(), ShouldContainSubstring, "hunt-1 broke CONFIG and is shrunk")
 		So(progress.String(), ShouldContainSubstring, "1/2 hunt-1: 8 events, 0 of 0 served, BROKEN CONFIG")
 		So(progress.String(), ShouldContainSubstring, "2/2 hunt-2")
 		So(text.String(), ShouldContainSubstring, "seed 1 broke CONFIG; shrunk to 3 of 8 events")
