--- a/bench/callers/mix.go
+++ b/bench/callers/mix.go
@@ -116,7 +116,7 @@
 func Summary(records []audit.CallerRecord) map[string]int {
 	out := map[string]int{}
 	for _, r := range records {
-		what := fmt.Sprintf("%d", r.Status)
+		var what string
 		switch {
 		case r.Unsent:
 			what = "unsent"
--- a/desk/edit_test.go
+++ b/desk/edit_test.go
@@ -24,10 +24,10 @@
 		return string(next), faults.Error()
 	}
 	Convey("an edit comes to the same as the whole file", t, func() {
-		next, faults := edited(editable, `{"set":{"pools":[{"name":"n"}],"desks":[{"name":"f","host":"h","pool":"n",`+kindsOfTest+`},{"name":"d","pool":"n",`+kindsOfTest+`}],
+		_, faults := edited(editable, `{"set":{"pools":[{"name":"n"}],"desks":[{"name":"f","host":"h","pool":"n",`+kindsOfTest+`},{"name":"d","pool":"n",`+kindsOfTest+`}],
 			"rules":[{"name":"late","when":"keyed","desk":"d"}]},"drop":{"pools":["p"],"desks":["e"],"rules":["vips"]}}`)
 		So(faults, ShouldContainSubstring, "rules[0].desk") // the rule without a name still sends to e
-		next, faults = edited(editable, `{"set":{"pools":[{"name":"n"}],"desks":[{"name":"f","host":"h","pool":"n",`+kindsOfTest+`},{"name":"e","pool":"n",`+kindsOfTest+`}],
+		next, faults := edited(editable, `{"set":{"pools":[{"name":"n"}],"desks":[{"name":"f","host":"h","pool":"n",`+kindsOfTest+`},{"name":"e","pool":"n",`+kindsOfTest+`}],
 			"rules":[{"name":"late","when":"keyed","desk":"e"}]},"drop":{"desks":["d"],"rules":["vips"]}}`)
 		So(faults, ShouldBeEmpty)
 		So(Digest([]byte(next)), ShouldEqual, Digest([]byte(`{"pools":[{"name":"p"},{"name":"n"}],
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -189,12 +189,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("a picture takes the place of what is before it, and power loss while it is made loses nothing", t, func() {
 			m := newMemory()
+			var during *memory
 			use(m, func(l *Log) {
 				l.Append([]byte("old"), func(error) {})
-				l.Cut(func() ([][]byte, error) { return [][]byte{[]byte("sum")}, nil })
+				l.Cut(func() ([][]byte, error) {
+					during = m.powerLoss(0)
+					return [][]byte{[]byte("sum")}, nil
+				})
 				l.Append([]byte("new"), func(error) {})
 			})
-			got, _, err := replayed(m)
+			got, _, err := replayed(during)
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, []string{"old"})
+			got, _, err = replayed(m.powerLoss(0))
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, []string{"sum", "new"})
+			got, _, err = replayed(m)
 			So(err, ShouldBeNil)
 			So(got, ShouldResemble, []string{"sum", "new"})
 			names, _ := m.List()
