--- a/bench/fleet/ground.go
+++ b/bench/fleet/ground.go
@@ -1,16 +1,14 @@
 package fleet
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/bench/process"
 	"linedrum.example/linedrum/link"
 )
 
@@ -57,15 +55,6 @@
 	Folder, Binary string
 }
 
-// nextIP gives each process of each fleet a loopback address of its own, so that
-// no outgoing connection takes a port that a process will listen on again.
-func nextIP() string {
-	n := addresses.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/250%250, n%250+1)
-}
-
-var addresses atomic.Uint32
-
 // Spot finds ports that are free for datagrams and connections alike.
 func (Processes) Spot(_ string, addrs int) ([]string, error) {
 	var out []string
@@ -73,7 +62,7 @@
 		if len(out) == addrs {
 			return out, nil
 		}
-		tcp, err := net.Listen("tcp", nextIP()+":0")
+		tcp, err := net.Listen("tcp", process.NextIP()+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -107,34 +96,9 @@
 	if err := os.WriteFile(n.Settings, n.config, 0o644); err != nil {
 		return nil, err
 	}
-	log, err := os.OpenFile(p.log(n), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	started, err := process.StartCommand(exec.Command(p.Binary, "node", "-settings", n.Settings), p.log(n))
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(p.Binary, "node", "-settings", n.Settings)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		_ = log.Close()
-		return nil, err
-	}
-	out := &process{cmd: cmd, exited: make(chan struct{})}
-	crew.New(context.Background()).Start(func(context.Context) {
-		_ = cmd.Wait()
-		_ = log.Close()
-		close(out.exited)
-	})
-	return out, nil
-}
-
-type process struct {
-	cmd    *exec.Cmd
-	exited chan struct{}
-}
-
-func (p *process) Exited() <-chan struct{}   { return p.exited }
-func (p *process) ExitCode() int             { return p.cmd.ProcessState.ExitCode() }
-func (p *process) Signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
-func (p *process) Kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.exited
+	return started, nil
 }
--- a/bench/fleet/memory.go
+++ b/bench/fleet/memory.go
@@ -1,17 +1,16 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 
+	"linedrum.example/linedrum/bench/process"
 	"linedrum.example/linedrum/bench/virtual"
 	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
@@ -32,7 +31,7 @@
 	mu       sync.Mutex
 	machines map[string]*virtual.Machine
 	disks    map[string]*virtual.Disk // by machine and folder
-	logs     map[int]*logBuffer
+	logs     map[int]*process.Log
 	lives    uint64
 	forms    map[int]uint16 // of nodes that are of another release
 }
@@ -41,7 +40,7 @@
 func NewMemory(seed uint64) *Memory {
 	g := &Memory{
 		Network: virtual.NewNet(seed), seed: seed, crew: crew.New(context.Background()),
-		machines: map[string]*virtual.Machine{}, forms: map[int]uint16{}, disks: map[string]*virtual.Disk{}, logs: map[int]*logBuffer{},
+		machines: map[string]*virtual.Machine{}, forms: map[int]uint16{}, disks: map[string]*virtual.Disk{}, logs: map[int]*process.Log{},
 	}
 	g.callers = g.Network.Add("callers")
 	return g
@@ -86,31 +85,14 @@
 	return g.Machine(addr).Boot()
 }
 
-// logBuffer is a log that is written and read at once.
-type logBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(b)
-}
-
 // Log implements Ground.
-func (g *Memory) Log(n *Node) string {
-	l := g.logOf(n)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.String()
-}
+func (g *Memory) Log(n *Node) string { return g.logOf(n).String() }
 
-func (g *Memory) logOf(n *Node) *logBuffer {
+func (g *Memory) logOf(n *Node) *process.Log {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.logs[n.Index] == nil {
-		g.logs[n.Index] = &logBuffer{}
+		g.logs[n.Index] = &process.Log{}
 	}
 	return g.logs[n.Index]
 }
@@ -127,31 +109,21 @@
 	g.mu.Unlock()
 	m := g.Machine(n.Listen)
 	ports := m.Boot()
-	p := &life{machine: m, exited: make(chan struct{})}
 	host := node.Host{Clock: m.Clock(), Net: ports, Rand: random, Form: g.form(n)}
+	var disk *virtual.Disk
 	if n.Data != "" {
-		p.disk = g.Disk(n)
-		host.Folder = func(string) (node.Folder, error) { return p.disk.Folder(ports), nil }
+		disk = g.Disk(n)
+		host.Folder = func(string) (node.Folder, error) { return disk.Folder(ports), nil }
 	}
 	out := event.New(&log.Logger{Handler: json.New(g.logOf(n)), Level: log.InfoLevel})
-	g.crew.Start(func(context.Context) {
+	return process.StartMemory(g.crew, m, disk, func() (process.Life, error) {
 		started, err := node.Start(s, out, host, node.Outside{})
 		if err != nil {
 			out.Say(event.StartBounced, event.Fields{"reason": err.Error()})
+			return nil, err
 		}
-		p.mu.Lock()
-		p.node = started
-		over := p.over
-		p.mu.Unlock()
-		switch {
-		case err != nil:
-			p.end(1)
-		case over:
-			started.Kill()
-			p.end(-1)
-		}
-	})
-	return p, nil
+		return started, nil
+	}), nil
 }
 
 // Release has a node write another form from its next start on, as a program of
@@ -171,84 +143,9 @@
 	return wire.Form
 }
 
-// life is a Process in memory.
-type life struct {
-	machine *virtual.Machine
-	disk    *virtual.Disk
-	exited  chan struct{}
-
-	mu    sync.Mutex
-	node  *node.Node // nil while it starts
-	over  bool
-	code  int
-	ended sync.Once
-}
-
-func (p *life) end(code int) {
-	p.ended.Do(func() {
-		p.mu.Lock()
-		p.code = code
-		p.mu.Unlock()
-		close(p.exited)
-	})
-}
-
-func (p *life) Exited() <-chan struct{} { return p.exited }
-
-func (p *life) ExitCode() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.code
-}
-
-// Kill implements Process: the system and the disk live on.
-func (p *life) Kill() { p.cut(false) }
-
 // PowerLoss takes a node's machine down with all that was not synced; nobody is told.
 func (g *Memory) PowerLoss(n *Node) {
-	if p, ok := n.process.(*life); ok {
-		p.cut(true)
-	}
-}
-
-func (p *life) cut(power bool) {
-	select {
-	case <-p.exited:
-		return
-	default:
-	}
-	p.machine.Kill(power)
-	if p.disk != nil {
-		p.disk.Crash(power)
-	}
-	p.mu.Lock()
-	p.over = true
-	started := p.node
-	p.mu.Unlock()
-	if started != nil {
-		started.Kill()
-		p.end(-1)
-	}
-	<-p.exited
-}
-
-// Signal implements Process.
-func (p *life) Signal(sig syscall.Signal) {
-	switch sig {
-	case syscall.SIGSTOP:
-		p.machine.Freeze()
-	case syscall.SIGCONT:
-		p.machine.Thaw()
-	case syscall.SIGTERM:
-		p.mu.Lock()
-		started := p.node
-		p.mu.Unlock()
-		if started == nil {
-			return
-		}
-		crew.New(context.Background()).Start(func(context.Context) {
-			started.Stop()
-			p.end(0)
-		})
+	if p, ok := n.process.(*process.Memory); ok {
+		p.PowerLoss()
 	}
 }
--- a/bench/platform/day_test.go
+++ b/bench/platform/day_test.go
@@ -32,7 +32,7 @@
 		g.crew.Stop()
 		if os.Getenv("LINEDRUM_LOG") != "" {
 			for ip, l := range g.logs {
-				t.Logf("%s: %.3000s", ip, l.buf.String())
+				t.Logf("%s: %.3000s", ip, l.String())
 			}
 		}
 	})
--- a/bench/platform/engine_test.go
+++ b/bench/platform/engine_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"linedrum.example/linedrum/bench/process"
 	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/node"
@@ -23,7 +24,7 @@
 func (nobody) Stop() {}
 func (nobody) Kill() {}
 
-func idle([]byte, node.Host, io.Writer) (Life, error) { return nobody{}, nil }
+func idle([]byte, node.Host, io.Writer) (process.Life, error) { return nobody{}, nil }
 
 // scene is a site of one zone without nodes, its engines, and somebody to ask.
 type scene struct {
--- a/bench/platform/trouble.go
+++ b/bench/platform/trouble.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"linedrum.example/linedrum/bench/process"
 	"linedrum.example/linedrum/crew"
 )
 
@@ -27,8 +28,8 @@
 func (s *Site) Kill(n *Node, power bool) {
 	n.set(true)
 	end := s.upset(n, "kill", false)
-	if p, ok := n.Process().(*life); ok && power {
-		p.cut(true)
+	if p, ok := n.Process().(*process.Memory); ok && power {
+		p.PowerLoss()
 	} else {
 		n.Process().Kill()
 	}
--- /dev/null
+++ b/bench/process/memory.go
@@ -0,0 +1,129 @@
+package process
+
+import (
+	"context"
+	"sync"
+	"syscall"
+
+	"linedrum.example/linedrum/bench/virtual"
+	"linedrum.example/linedrum/crew"
+)
+
+// Life is a running node of the system inside this process.
+type Life interface {
+	// Stop is SIGTERM; it returns when the process would have ended.
+	Stop()
+	// Kill ends it at once.
+	Kill()
+}
+
+// Memory is a process on a machine in memory.
+type Memory struct {
+	machine *virtual.Machine
+	disk    *virtual.Disk // nil: it keeps nothing
+	crew    *crew.Crew
+	exited  chan struct{}
+
+	mu    sync.Mutex
+	life  Life // nil while it starts
+	over  bool
+	code  int
+	ended sync.Once
+}
+
+// StartMemory runs start on a machine, with a disk if there is one; a start that fails
+// ends the process with code 1.
+func StartMemory(c *crew.Crew, machine *virtual.Machine, disk *virtual.Disk, start func() (Life, error)) *Memory {
+	p := &Memory{machine: machine, disk: disk, crew: c, exited: make(chan struct{})}
+	c.Start(func(context.Context) { p.run(start) })
+	return p
+}
+
+func (p *Memory) run(start func() (Life, error)) {
+	life, err := start()
+	if err != nil {
+		p.end(1)
+		return
+	}
+	p.mu.Lock()
+	p.life = life
+	over := p.over
+	p.mu.Unlock()
+	if over {
+		life.Kill()
+		p.end(-1)
+	}
+}
+
+func (p *Memory) end(code int) {
+	p.ended.Do(func() {
+		p.mu.Lock()
+		p.code = code
+		p.mu.Unlock()
+		close(p.exited)
+	})
+}
+
+// Exited is closed when the process has ended.
+func (p *Memory) Exited() <-chan struct{} { return p.exited }
+
+// ExitCode is that of a process that has ended; -1: it was killed.
+func (p *Memory) ExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.code
+}
+
+// Kill ends the process at once: the system and the disk live on.
+func (p *Memory) Kill() { p.cut(false) }
+
+// PowerLoss takes the machine down with all that was not synced; nobody is told.
+func (p *Memory) PowerLoss() { p.cut(true) }
+
+func (p *Memory) cut(power bool) {
+	select {
+	case <-p.exited:
+		return
+	default:
+	}
+	p.machine.Kill(power)
+	if p.disk != nil {
+		p.disk.Crash(power)
+	}
+	p.mu.Lock()
+	p.over = true
+	life := p.life
+	p.mu.Unlock()
+	if life != nil {
+		life.Kill()
+		p.end(-1)
+	}
+	<-p.exited
+}
+
+// Signal takes SIGTERM, SIGSTOP and SIGCONT; others change nothing.
+func (p *Memory) Signal(sig syscall.Signal) {
+	switch sig {
+	case syscall.SIGSTOP:
+		p.machine.Freeze()
+	case syscall.SIGCONT:
+		p.machine.Thaw()
+	case syscall.SIGTERM:
+		p.stop()
+	}
+}
+
+func (p *Memory) stop() {
+	p.mu.Lock()
+	life := p.life
+	p.mu.Unlock()
+	if life == nil {
+		return
+	}
+	p.crew.Start(func(context.Context) {
+		life.Stop()
+		// Nothing of a process that ended stays open.
+		p.machine.Kill(false)
+		p.end(0)
+	})
+}
