A go that an engine ran and failed is no reply: it may have run

Cause: an engine's 500 has the verdict ran, which the ledger reads as a reply that came whole. The path then finished with an empty head, status 0, which net/http refuses by a panic: the client's connection was closed, and a repeatable request was not repeated. A read that failed so counted as memory that is held.

Change: what the ledger gets of a failed go is may-have-run at most.

Result: two new tests of package serve fail without it and pass with it; serve, node and sim pass.

--- a/serve/goes.go
+++ b/serve/goes.go
@@ -20,6 +20,8 @@
 	return &q.ledger.Goes[len(q.ledger.Goes)-1]
 }
 
+// end notes how a go ended. In the ledger, ran is a reply that came whole: an engine
+// that ran the request and failed left none, so all that is known is that it may have run.
 func (q *request) end(g *ledger.Go, err error) {
 	g.Ended = q.s.clock.Now()
 	g.Verdict = verdict.Ran
@@ -27,6 +29,9 @@
 		q.engines.Well(g.Server)
 	} else {
 		g.Verdict = verdict.Of(err)
+		if g.Verdict == verdict.Ran {
+			g.Verdict = verdict.MayHaveRun
+		}
 		var e *verdict.Error
 		if errors.As(err, &e) {
 			g.Code = e.Code
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -233,4 +233,35 @@
 		So(h, ShouldResemble, &heard{text: "7 8 ", end: "end", begins: 1})
 		So(w.spends, ShouldEqual, 1)
 	})
+	Convey("a read that an engine ran and failed gives no memory: nothing writes from it", t, func() {
+		w := &world{write: func(int, Go) (Reply, error) { return stream(1, 1, io.EOF) }}
+		w.read = func(n int) error {
+			if n == 1 {
+				return &verdict.Error{Verdict: verdict.Ran, Status: 500, Code: engine.CodeBad}
+			}
+			return nil
+		}
+		h, _ := w.serve(desk.Kind{}, false)
+		So(h.end, ShouldEqual, "end")
+		So(w.begun, ShouldResemble, []string{"read r", "read r", "write after "})
+	})
+	Convey("an engine's own failure is a failure, and nothing takes it for a reply", t, func() {
+		for _, changing := range []bool{true, false} {
+			w := &world{direct: true}
+			w.write = func(n int, g Go) (Reply, error) {
+				if n == 1 {
+					return Reply{}, &verdict.Error{Verdict: verdict.Ran, Status: 500, Code: engine.CodeBad}
+				}
+				return stream(7, 8, io.EOF)
+			}
+			h, _ := w.serve(desk.Kind{Changing: changing}, false)
+			if changing {
+				So(h.end, ShouldEqual, "fail")
+				So(h.fault.Verdict, ShouldNotEqual, verdict.NotRun)
+				So(len(w.begun), ShouldEqual, 1)
+			} else {
+				So(h, ShouldResemble, &heard{text: "7 8 ", end: "end", begins: 1})
+			}
+		}
+	})
 }
