--- a/engine/consumer.go
+++ b/engine/consumer.go
@@ -89,6 +89,7 @@
 // no Idempotency-Key is ever forwarded, since net/http replays a POST that bears one.
 type Consumer struct {
 	http     *http.Client
+	fresh    *http.Client // makes a connection for each call
 	maxReply int64
 }
 
@@ -99,18 +100,21 @@
 
 // NewConsumer makes a consumer whose dials take no longer than dial.
 func NewConsumer(dialer Dialer, dial time.Duration, maxReply int64) *Consumer {
-	return &Consumer{maxReply: maxReply, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-				ctx, cancel := context.WithTimeout(ctx, dial)
-				defer cancel()
-				return dialer.Dial(ctx, addr)
+	client := func(fresh bool) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+					ctx, cancel := context.WithTimeout(ctx, dial)
+					defer cancel()
+					return dialer.Dial(ctx, addr)
+				},
+				MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableKeepAlives: fresh,
+				DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
 			},
-			MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
-			DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	return &Consumer{maxReply: maxReply, http: client(false), fresh: client(true)}
 }
 
 // Close lets go of idle connections.
@@ -125,6 +129,7 @@
 	Decided Decided
 	Body    []byte
 	Stream  bool
+	Again   bool // the request was at this engine before: only on a new connection
 }
 
 // Reply is an engine's answer. A stream's Body is read by the caller, and closed.
@@ -156,21 +161,26 @@
 	if call.Fence.Boot != "" {
 		req.Header.Set(HeaderNotAfter, call.Fence.String())
 	}
-	res, err := c.http.Do(req)
+	client := c.http
+	if call.Again {
+		client = c.fresh
+	}
+	res, err := client.Do(req)
 	if err != nil {
 		if !wrote.Load() {
 			return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: CodeDial, Reason: "the engine could not be reached", Cause: err}
 		}
 		return Reply{}, cut(err)
 	}
+	// Before anything else: what another call's answer says of having run is not of this one.
+	if echoed := res.Header.Values(HeaderRequest); len(echoed) != 1 || echoed[0] != call.Request {
+		_ = res.Body.Close()
+		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeBad, Reason: "the engine's reply names another request"}
+	}
 	if res.StatusCode != http.StatusOK {
 		defer res.Body.Close()
 		return Reply{}, bounced(res)
 	}
-	if echoed := res.Header.Get(HeaderRequest); echoed != call.Request {
-		_ = res.Body.Close()
-		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: CodeBad, Reason: "the engine's reply names another request"}
-	}
 	handOver := time.Duration(-1)
 	if ms, err := strconv.ParseInt(res.Header.Get(HeaderHandOver), 10, 32); err == nil && ms >= 0 {
 		handOver = time.Duration(ms) * time.Millisecond
--- a/serve/goes.go
+++ b/serve/goes.go
@@ -63,7 +63,7 @@
 func (q *request) goTo(s pairing.Server) Go {
 	g := Go{
 		Ask: q.ask, Server: s.Listed, Model: q.desk.Model, Left: q.ledger.Expiry - q.s.clock.Now(), Urgency: q.kind.Urgency,
-		Fence: q.fence(s), Decided: q.decided, Out: q.out, After: q.ask.After,
+		Fence: q.fence(s), Decided: q.decided, Out: q.out, After: q.ask.After, Again: q.wentTo(s.Name),
 	}
 	if q.last != "" {
 		g.After = q.last
@@ -71,6 +71,16 @@
 	return g
 }
 
+// wentTo tells whether an engine had a go of this request before the present one.
+func (q *request) wentTo(server string) bool {
+	for _, g := range q.ledger.Goes[:len(q.ledger.Goes)-1] {
+		if g.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
 func (q *request) prefill() {
 	ctx, cancel := q.expiryContext()
 	defer cancel()
--- a/serve/ports.go
+++ b/serve/ports.go
@@ -72,6 +72,9 @@
 	Decided engine.Decided
 	Out     int    // most tokens to be put out: what was asked, or what its kind takes
 	After   string // resume after the piece of this id; empty: from the start
+	// Again says that this request was sent to this very engine before: what that go's
+	// connection still gives bears the same id, so this go needs another connection.
+	Again bool
 }
 
 // Memory is a prompt's memory that lies at the engine that read it.
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -21,7 +21,8 @@
 	head  Head
 	reply []byte // a whole reply; nil: none yet, or it was passed on as it came
 	began bool   // the head was given
-	last  string // id of the last piece passed on
+	last  string // id of the last piece passed on that had one
+	blank bool   // the last piece passed on had none
 	deaf  bool   // the caller takes nothing more
 }
 
@@ -43,7 +44,7 @@
 		}
 		if err != nil {
 			// What bears no id cannot be gone on after.
-			q.ledger.Resume = q.ledger.Resume && (!q.began || q.last != "")
+			q.ledger.Resume = q.ledger.Resume && !q.blank
 			return err
 		}
 		if !q.ask.Stream && !q.began {
@@ -81,7 +82,8 @@
 		q.deaf = true
 		return errors.Trace(err)
 	}
-	if piece.ID != "" {
+	q.blank = piece.ID == ""
+	if !q.blank {
 		q.last = piece.ID
 	}
 	return nil
--- a/speech/speech.go
+++ b/speech/speech.go
@@ -75,6 +75,7 @@
 func call(g serve.Go, body []byte, stream bool) engine.Call {
 	return engine.Call{
 		Addr: g.Server.Addr, Request: g.Ask.ID, Expiry: g.Left, Fence: g.Fence, Decided: g.Decided, Body: body, Stream: stream,
+		Again: g.Again,
 	}
 }
 
