No refusal and no go from a configuration that is not known to be in force

Cause: a request's desk was looked up in the newest configuration that had come in force on the node, and refused by it, before anyone asked for the lease. A node whose lease had run out answered 404 on routes that were added since.

Without a lease the answer is not-run, come back (503 with Retry-After) at once; nothing waits for a lease any more, in a queue neither.

--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -32,6 +32,7 @@
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/node"
 	"linedrum.example/linedrum/once"
+	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/strict"
 )
@@ -186,7 +187,12 @@
 	return out.Serial
 }
 
-func (b *bench) inForce() uint64 { return b.node.Picture().DeskSerial }
+func (b *bench) picture() serve.Picture {
+	inForce, _ := b.node.InForce()
+	return inForce.Value()
+}
+
+func (b *bench) inForce() uint64 { return b.picture().DeskSerial }
 
 // faults sets both engines' faults.
 func (b *bench) faults(f standin.Faults) {
@@ -443,7 +449,7 @@
 		first := b.ask("checks", "check", "late", 5, false)
 		So(first.Status, ShouldEqual, 200)
 		window, _ := once.Window(first.Key)
-		b.await("its window is forgotten", func() bool { return b.node.Picture().Windows.Floor > window })
+		b.await("its window is forgotten", func() bool { return b.picture().Windows.Floor > window })
 		runs := b.count(audit.EventRun, "decode")
 		for range 3 {
 			again := b.ask("checks", "check", "late", 5, false)
--- a/bench/platform/product.go
+++ b/bench/platform/product.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -34,16 +33,13 @@
 			return product.NewFace(product.Node{
 				Place: place, Net: n.Net(), Server: n.Path(), Keeper: keeper{n.Control},
 				NotReady: func() string {
-					if n.Picture().EngineSerial == 0 {
+					if inForce, held := n.InForce(); held && inForce.Value().EngineSerial == 0 {
 						return "no list of engines"
 					}
 					return n.NotReady()
 				},
-				Source: func() (uint64, json.RawMessage) {
-					p := n.Picture()
-					return p.DeskSerial, p.DeskSource
-				},
-				Start: n.Background,
+				InForce: n.InForce,
+				Start:   n.Background,
 			}), nil
 		}},
 	})
--- a/cmd/linedrum/platform.go
+++ b/cmd/linedrum/platform.go
@@ -107,16 +107,13 @@
 			return platform.NewFace(platform.Node{
 				Place: place, Net: n.Net(), Server: n.Path(), Keeper: keeper{n.Control, out},
 				NotReady: func() string {
-					if n.Picture().EngineSerial == 0 {
+					if inForce, held := n.InForce(); held && inForce.Value().EngineSerial == 0 {
 						return "no list of engines"
 					}
 					return n.NotReady()
 				},
-				Source: func() (uint64, json.RawMessage) {
-					p := n.Picture()
-					return p.DeskSerial, p.DeskSource
-				},
-				Start: n.Background,
+				InForce: n.InForce,
+				Start:   n.Background,
 			}), nil
 		}},
 	})
--- a/engine/consumer.go
+++ b/engine/consumer.go
@@ -83,6 +83,8 @@
 	CodeCut    = "engine-cut"
 	CodeBad    = "engine-bad-reply"
 	CodeInput  = ledger.CodeInput
+	// CodeNoLease is a go whose lease ran out before it was sent.
+	CodeNoLease = ledger.CodePermit
 )
 
 // Consumer calls engines. It never repeats a call by itself: GetBody is unset and
--- a/face/caller.go
+++ b/face/caller.go
@@ -40,29 +40,32 @@
 		return
 	}
 	w.Header().Set(engine.HeaderRequest, id)
-	if open := f.n.Picture().Windows.Open; open > 0 {
-		w.Header().Set(headerWindow, strconv.FormatUint(open, 10))
+	if inForce, held := f.n.InForce(); held && inForce.Value().Windows.Open > 0 {
+		w.Header().Set(headerWindow, strconv.FormatUint(inForce.Value().Windows.Open, 10))
 	}
-	if fault := f.path.Hold(); fault != nil {
-		f.failUnread(w, r, fault)
+	if refusal := f.path.Hold(); refusal != nil {
+		f.failUnread(w, r, refusal.Told())
 		return
 	}
 	defer f.path.Free()
 	c := &caller{f: f, w: w, r: r, id: id}
 	ask := &serve.Ask{ID: id}
-	fault := f.readKey(r, ask)
-	var body []byte
-	if fault == nil {
-		body, fault = f.readBody(w, r, f.settings.Limits.Body)
-	}
-	if fault == nil {
-		f.whole.Add(1)
-		defer f.whole.Add(-1)
-		fault = read(r, body, ask)
+	refusal := f.readKey(r, ask)
+	if refusal == nil {
+		body, fault := f.readBody(w, r, f.settings.Limits.Body)
+		if fault == nil {
+			f.whole.Add(1)
+			defer f.whole.Add(-1)
+			fault = read(r, body, ask)
+		}
+		if fault != nil {
+			// It is at fault in itself, or by the settings of this process.
+			refusal = serve.Malformed(fault)
+		}
 	}
 	c.stream = ask.Stream
-	if fault != nil {
-		f.path.Refuse(ask, c, fault)
+	if refusal != nil {
+		f.path.Refuse(ask, c, refusal)
 	} else {
 		f.path.Serve(ask, c)
 	}
@@ -73,7 +76,7 @@
 
 // readKey takes the once-only key, before anything else can fail: from then on
 // not-run is said only if the key is shown to be free (section 5.7).
-func (f *Face) readKey(r *http.Request, ask *serve.Ask) *verdict.Error {
+func (f *Face) readKey(r *http.Request, ask *serve.Ask) *serve.Refusal {
 	keys := r.Header.Values(serve.FieldKey)
 	switch {
 	case len(keys) == 0:
@@ -81,7 +84,7 @@
 	case len(keys) > 1:
 		fault := serve.Bad(http.StatusBadRequest, "bad-header", serve.FieldKey, "a request has one key")
 		fault.Verdict = verdict.MayHaveRun // which of them is meant is not known
-		return fault
+		return serve.Malformed(fault)
 	case keys[0] == "":
 		return serve.BadKey()
 	}
@@ -141,10 +144,11 @@
 func (c *caller) Context() context.Context { return c.r.Context() }
 
 // Fail implements serve.Caller.
-func (c *caller) Fail(fault *verdict.Error) {
-	if c.r.Context().Err() == nil {
-		c.f.fail(c.w, fault)
+func (c *caller) Fail(refusal *serve.Refusal) *verdict.Error {
+	if c.r.Context().Err() != nil {
+		return refusal.Told()
 	}
+	return c.f.refuse(c.w, refusal)
 }
 
 // Begin implements serve.Caller.
--- a/face/face.go
+++ b/face/face.go
@@ -38,7 +38,8 @@
 	OpID() string
 	Background(run func(ctx context.Context))
 
-	Picture() serve.Picture
+	// InForce is what is in force; false without a lease that says so.
+	InForce() (serve.InForce, bool)
 	NotReady() string
 	Status() control.Status
 	Counts() map[string]uint64
@@ -196,6 +197,13 @@
 	f.failWith(w, e, p)
 }
 
+// refuse writes a refusal as it is told now, and says what was told.
+func (f *Face) refuse(w http.ResponseWriter, refusal *serve.Refusal) *verdict.Error {
+	told := refusal.Told()
+	f.fail(w, told)
+	return told
+}
+
 // failUnread is fail for what was not read far enough to look its key up: of a
 // keyed request it cannot say not-run (section 5.7).
 func (f *Face) failUnread(w http.ResponseWriter, r *http.Request, e *verdict.Error) {
@@ -244,7 +252,7 @@
 
 func (f *Face) ready(w http.ResponseWriter, _ *http.Request) {
 	why := f.n.NotReady()
-	if why == "" && f.n.Picture().Sites.Empty[f.settings.Site] {
+	if inForce, _ := f.n.InForce(); why == "" && inForce.Value().Sites.Empty[f.settings.Site] {
 		why = "site emptied"
 	}
 	if why != "" {
--- a/face/ops.go
+++ b/face/ops.go
@@ -49,9 +49,14 @@
 
 // getWindow names the window that new once-only keys are made in (section 3.7).
 func (f *Face) getWindow(w http.ResponseWriter, _ *http.Request) {
-	windows := f.n.Picture().Windows
-	if windows.Open == 0 {
-		f.fail(w, serve.Bounce("no-window", "no window for once-only keys is open yet", time.Second))
+	inForce, held := f.n.InForce()
+	windows := inForce.Value().Windows
+	switch {
+	case !held:
+		f.refuse(w, serve.NoLease(f.path.ComeBackAfter()))
+		return
+	case windows.Open == 0:
+		f.refuse(w, serve.ComeBack("no-window", "no window for once-only keys is open yet", time.Second))
 		return
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"window": windows.Open, "floor": windows.Floor})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -67,7 +67,7 @@
 type View struct {
 	Now        time.Duration
 	Permit     bool
-	PermitSoon bool // without a permit: it may come in a moment, so nothing is given up yet
+	PermitSoon bool // of records of earlier releases, which waited a moment for a permit
 	Budget     bool // a repeated go is within the fleet's budget
 	Left       bool // the consumer has gone
 	Capacity   bool // an engine of the phase that comes next can take a go
@@ -133,7 +133,7 @@
 func (l *Ledger) Counted() int {
 	n := counted(l.Goes)
 	for _, g := range l.Goes {
-		if g.Verdict == verdict.NotRun && g.Code == CodeUnreached {
+		if g.Verdict == verdict.NotRun && (g.Code == CodeUnreached || g.Code == CodePermit) {
 			n--
 		}
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -9,17 +9,25 @@
 	"linedrum.example/linedrum/core"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 )
 
-// Picture copies what is in force; its maps are never written after that.
-func (n *Node) Picture() serve.Picture {
+// InForce gives what is in force by this node's lease; false without one. The maps are
+// never written after that.
+func (n *Node) InForce() (serve.InForce, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := n.picture
-	p.Until = n.core.Keeper.Until()
-	return p
+	return lease.Give(lease.Clock(n.clock), n.core.Keeper.Until(), n.picture)
+}
+
+// newest copies the newest control state that came in force here, with a lease or
+// without one: for duties, which write by compare-and-set.
+func (n *Node) newest() serve.Picture {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.picture
 }
 
 // Permit tells whether a new go may start now.
@@ -31,11 +39,12 @@
 
 // NotReady says why this node cannot serve callers now; empty when it can.
 func (n *Node) NotReady() string {
-	p := n.Picture()
+	inForce, held := n.InForce()
+	p := inForce.Value()
 	switch {
 	case n.stopping.Load():
 		return "stopping"
-	case !n.Permit():
+	case !held:
 		return "no permit"
 	case p.Desk == nil:
 		return "no desk file"
--- a/node/duty.go
+++ b/node/duty.go
@@ -15,7 +15,7 @@
 // tickDuties does the duty of each pool's roles while this node has it.
 func (n *Node) tickDuties(ctx context.Context) {
 	crew.Every(ctx, n.settings.Bounds.InForce.D()/8, func() {
-		picture := n.Picture()
+		picture := n.newest()
 		n.windowsDuty(ctx)
 		if picture.Desk == nil {
 			return
--- a/serve/claims.go
+++ b/serve/claims.go
@@ -26,27 +26,57 @@
 
 // CheckKey says what is wrong with a once-only key as the caller gave it: empty is no
 // key. A face asks before anything else of a request can fail: from then on not-run is
-// said only if the key is shown to be free (section 5.7).
-func (s *Server) CheckKey(text string) *verdict.Error {
-	if text == "" {
-		return nil
+// said only if the key is shown to be free (section 5.7). What rests on the windows in
+// force is left to Serve where there is no lease, so that a repeat is read whole first
+// and hears what its key's register has kept.
+func (s *Server) CheckKey(text string) *Refusal {
+	inForce, held := s.fleet.InForce()
+	if refusal := malformedKey(text, inForce); refusal != nil || !held {
+		return refusal
+	}
+	return s.windowOf(text, inForce)
+}
+
+// checkKey is CheckKey for a request that was read whole.
+func (s *Server) checkKey(text string) *Refusal {
+	inForce, held := s.fleet.InForce()
+	if refusal := malformedKey(text, inForce); refusal != nil || text == "" {
+		return refusal
 	}
+	if !held {
+		return s.noLease()
+	}
+	return s.windowOf(text, inForce)
+}
+
+// malformedKey is the refusal of a key of a form under which nothing was ever taken, so
+// that it is not-run.
+func malformedKey(text string, inForce InForce) *Refusal {
 	if len(text) > longestKey {
 		return BadKey()
 	}
-	windows := s.fleet.Picture().Windows
+	if _, ok := once.Window(text); ok || text == "" {
+		return nil
+	}
+	return Malformed(Bad(http.StatusBadRequest, "bad-header", FieldKey,
+		"a key begins with the window that it was made in: make it anew as %q and keep it for all repeats (GET /linedrum/window names the window)",
+		fmt.Sprintf("%d.YOUR-OWN-ID", max(inForce.Value().Windows.Open, 1))))
+}
+
+// windowOf refuses a key of a window that is not open, or was forgotten.
+func (s *Server) windowOf(text string, inForce InForce) *Refusal {
+	windows := inForce.Value().Windows
 	window, ok := once.Window(text)
 	switch {
-	case !ok:
-		// Nothing was ever taken under a key of another form, so this is not-run.
-		return Bad(http.StatusBadRequest, "bad-header", FieldKey,
-			"a key begins with the window that it was made in: make it anew as %q and keep it for all repeats (GET /linedrum/window names the window)", fmt.Sprintf("%d.YOUR-OWN-ID", max(windows.Open, 1)))
+	case !ok: // there is no key
+		return nil
 	case window < windows.Floor:
-		return passed()
+		return settled(passed())
 	case windows.Open == 0:
-		return Bounce("no-window", "no window for once-only keys is open yet", time.Second)
+		return ComeBack("no-window", "no window for once-only keys is open yet", time.Second)
 	case window > windows.Open:
-		return Bad(http.StatusBadRequest, "bad-header", FieldKey, "window %d has not been opened; %d is open (GET /linedrum/window)", window, windows.Open)
+		return Under(inForce, s.ComeBackAfter(), Bad(http.StatusBadRequest, "bad-header", FieldKey,
+			"window %d has not been opened; %d is open (GET /linedrum/window)", window, windows.Open))
 	}
 	return nil
 }
@@ -54,8 +84,8 @@
 const longestKey = 255 // bytes
 
 // BadKey is the fault of a key of a length that is never taken.
-func BadKey() *verdict.Error {
-	return Bad(http.StatusBadRequest, "bad-header", FieldKey, "a key has 1 to %d bytes", longestKey)
+func BadKey() *Refusal {
+	return Malformed(Bad(http.StatusBadRequest, "bad-header", FieldKey, "a key has 1 to %d bytes", longestKey))
 }
 
 // takeKey makes a request with a key of the right form a once-only one.
@@ -115,9 +145,10 @@
 // turnAway ends a request that no engine was touched for. Not-run is said of a
 // key only when a majority of the disks shows that it is free (section 5.7);
 // whatever this request's own fault is, one whose key ran hears what became of it.
-func (q *request) turnAway(fault *verdict.Error) {
+func (q *request) turnAway(refusal *Refusal) {
+	fault := refusal.fault
 	if !q.ledger.Once || fault.Verdict != verdict.NotRun {
-		q.failed(fault)
+		q.failed(refusal)
 		return
 	}
 	ctx, cancel := q.expiryContext()
@@ -129,6 +160,8 @@
 		fault.Verdict = verdict.MayHaveRun
 		fault.Reason += "; this call reached no engine, an earlier one with this key may have"
 	case held.State == once.Released:
+		q.failed(refusal) // its key is free, so it is told what it would be without one
+		return
 	case q.claim.Body == "":
 		// What it asks could not be read, so it cannot be told from another request.
 		fault.Verdict, fault.RetryAfter = held.Verdict(), 0
@@ -140,7 +173,7 @@
 		q.finish()
 		return
 	}
-	q.failed(fault)
+	q.failed(settled(fault))
 }
 
 // unclear is the failure of a keyed request of which this node cannot say that
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -13,7 +13,6 @@
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
-	"linedrum.example/linedrum/verdict"
 )
 
 // Picture is what is in force on this node, all taken at one instant. Its maps are
@@ -29,7 +28,6 @@
 	SiteSerial   uint64
 	Windows      register.Windows
 	Roles        map[string]RolesInForce
-	Until        time.Duration // of the permit
 }
 
 // RolesInForce is one pool's table with the fence of its orders.
@@ -43,8 +41,8 @@
 
 // Fleet is what a request's path needs of the node that it runs on.
 type Fleet interface {
-	// Picture is what is in force now.
-	Picture() Picture
+	// InForce is what is in force now; false without a lease that says so.
+	InForce() (InForce, bool)
 	// Real counts a request that arrived into the retry budget, May tells whether a
 	// repeat is within it, Spend takes one out if there is one.
 	Real(at time.Duration)
@@ -146,12 +144,12 @@
 	return s
 }
 
-// Hold counts a request in hand, read or not, of all faces together; a fault says that
+// Hold counts a request in hand, read or not, of all faces together; a refusal says that
 // the node holds as many as it may. Without one, Free is called at the request's end.
-func (s *Server) Hold() *verdict.Error {
+func (s *Server) Hold() *Refusal {
 	if s.held.Add(1) > int64(s.settings.Limits.Waiting) {
 		s.held.Add(-1)
-		return Bounce("node-full", "this node holds as many requests as it may", time.Second)
+		return ComeBack("node-full", "this node holds as many requests as it may", time.Second)
 	}
 	return nil
 }
--- a/serve/goes.go
+++ b/serve/goes.go
@@ -39,7 +39,7 @@
 func (q *request) failedGo(server string, g *ledger.Go) {
 	q.release()
 	switch g.Code {
-	case engine.CodeLapsed, engine.CodeInput:
+	case engine.CodeLapsed, engine.CodeInput, engine.CodeNoLease:
 	case engine.CodeBusy:
 		// Full until its next report; and where that says otherwise again and again,
 		// another engine is the better one.
@@ -58,7 +58,7 @@
 func (q *request) goTo(s pairing.Server) Go {
 	g := Go{
 		Ask: q.ask, Server: s.Listed, Model: q.desk.Model, Left: q.ledger.Expiry - q.s.clock.Now(), Urgency: q.kind.Urgency,
-		Fence: q.fence(s), Decided: q.decided, Out: q.out, After: q.ask.After,
+		Fence: q.fence(s), Decided: q.decided, InForce: q.inForce, Out: q.out, After: q.ask.After,
 	}
 	if q.last != "" {
 		g.After = q.last
--- a/serve/pair.go
+++ b/serve/pair.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -49,9 +50,10 @@
 func (q *request) line() string { return q.desk.Name + "/" + q.kind.Name }
 
 func queueFull(comeBack time.Duration) *verdict.Error {
-	fault := Bounce("queue-full", "the queue of this kind of caller is full", comeBack)
-	fault.Status = http.StatusTooManyRequests
-	return fault
+	return &verdict.Error{
+		Verdict: verdict.NotRun, Status: http.StatusTooManyRequests, Code: "queue-full",
+		Reason: "the queue of this kind of caller is full", RetryAfter: max(comeBack, time.Second),
+	}
 }
 
 // await waits for a pair of engines, in the queue of the caller's kind.
@@ -76,19 +78,52 @@
 	if !ok {
 		return queueFull(comeBack)
 	}
+	if !q.awaitTurn(ctx, w, begun) {
+		// The ledger sees the expiry, that the caller left, or that there is no lease. If
+		// the grant came at the same moment, the reservation is given back with the
+		// request's end.
+		q.s.gate.Leave(w)
+		return nil
+	}
+	if gaveUp, comeBack := w.GaveUp(); gaveUp && !begun {
+		fault := queueFull(comeBack)
+		fault.Code, fault.Reason = "too-busy", "no engine will come free within half of the request's time"
+		return fault
+	}
+	return nil
+}
+
+// awaitTurn waits for a place in the queue until ctx ends; false means that it did. What
+// has not begun keeps its place as long as there is a lease: without one it is not held.
+func (q *request) awaitTurn(ctx context.Context, w *gate.Waiter, begun bool) bool {
+	for {
+		if begun {
+			return granted(ctx, w)
+		}
+		inForce, held := q.fleet.InForce()
+		if !held {
+			return false
+		}
+		leased, cancel := context.WithTimeout(ctx, inForce.Until()-q.s.clock.Now()+q.s.settings.Bounds.InForce.D()/leaseTicks)
+		turn := granted(leased, w)
+		cancel()
+		if turn || ctx.Err() != nil {
+			return turn
+		}
+	}
+}
+
+// leaseTicks is how soon a lapsed lease is noticed, as a part of the in-force bound.
+const leaseTicks = 200
+
+// granted waits for a place until ctx ends; false means that it ended first.
+func granted(ctx context.Context, w *gate.Waiter) bool {
 	select {
 	case <-w.Granted():
-		if gaveUp, comeBack := w.GaveUp(); gaveUp && !begun {
-			fault := queueFull(comeBack)
-			fault.Code, fault.Reason = "too-busy", "no engine will come free within half of the request's time"
-			return fault
-		}
+		return true
 	case <-ctx.Done():
-		// The ledger sees the expiry, or that the caller left. If the grant came at
-		// the same moment, the reservation is given back with the request's end.
-		q.s.gate.Leave(w)
+		return false
 	}
-	return nil
 }
 
 // reserve is the gate's try: it runs under the gate's lock.
@@ -120,6 +155,6 @@
 // age only runs behind the engine's own count, so the moment is never too late,
 // however long this process is stopped before the go is sent (section 5.9).
 func (q *request) fence(s pairing.Server) engine.NotAfter {
-	left := min(q.until, q.ledger.Expiry) - q.nominated
+	left := min(q.inForce.Until(), q.ledger.Expiry) - q.nominated
 	return engine.NotAfter{Boot: s.Load.Boot, MS: max((s.Age + left).Milliseconds(), 0)}
 }
--- a/serve/ports.go
+++ b/serve/ports.go
@@ -41,8 +41,9 @@
 type Caller interface {
 	// Context ends when the caller has gone.
 	Context() context.Context
-	// Fail gives the final reply of a request that has no reply of an engine.
-	Fail(fault *verdict.Error)
+	// Fail gives the final reply of a request that has no reply of an engine, and says
+	// what was told: the refusal's Told, asked right before it is written.
+	Fail(refusal *Refusal) *verdict.Error
 	// Begin gives the head of the reply, as the engine gave it.
 	Begin(head Head) error
 	// Piece passes bytes of the reply on at once.
@@ -70,8 +71,9 @@
 	Urgency int           // 0 is first
 	Fence   engine.NotAfter
 	Decided engine.Decided
-	Out     int    // most tokens to be put out: what was asked, or what its kind takes
-	After   string // resume after the piece of this id; empty: from the start
+	InForce InForce // what the go was decided under; nothing is sent once its lease ran out
+	Out     int     // most tokens to be put out: what was asked, or what its kind takes
+	After   string  // resume after the piece of this id; empty: from the start
 }
 
 // Memory is a prompt's memory that lies at the engine that read it.
@@ -105,7 +107,8 @@
 
 // Speech is how engines are spoken to. Every error of Read and Write is, or wraps,
 // a *verdict.Error that says whether the engine may have run the request, with one of
-// the codes of package engine. No method repeats a call by itself.
+// the codes of package engine; a go whose lease ran out before it was sent is not-run,
+// with the code engine.CodeNoLease. No method repeats a call by itself.
 type Speech interface {
 	// Read has an engine read the prompt and keep its memory for a writer.
 	Read(ctx context.Context, g Go) (Memory, error)
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -130,7 +130,7 @@
 	e := &verdict.Error{Verdict: m.Verdict, Code: m.Code, Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
 	switch m.Code {
 	case ledger.CodePermit:
-		e.Reason = "this node cannot confirm that its desk file and engines are the newest"
+		return q.s.noLease().fault
 	case ledger.CodeExpired:
 		e.Status, e.Reason = http.StatusGatewayTimeout, "the request's time is over"
 		if m.Verdict == verdict.NotRun {
@@ -161,9 +161,8 @@
 	return e
 }
 
-func (q *request) failed(fault *verdict.Error) {
-	q.caller.Fail(fault)
-	q.ended(fault)
+func (q *request) failed(refusal *Refusal) {
+	q.ended(q.caller.Fail(refusal))
 }
 
 // ended tells the process's other parts; it is the last thing a request does.
--- a/serve/request.go
+++ b/serve/request.go
@@ -33,8 +33,7 @@
 	keyed
 	paired
 	replied
-	until   time.Duration // of the permit that the last look saw
-	without time.Duration // since when looks saw none
+	inForce InForce // of the last look that had a lease
 	decided engine.Decided
 	repeats int
 	spent   bool           // the budget was found empty at the moment of a repeat
@@ -63,12 +62,12 @@
 func (s *Server) Serve(ask *Ask, caller Caller) {
 	q := s.request(ask, caller)
 	q.takeKey()
-	fault := s.CheckKey(ask.OnceKey)
-	if fault == nil {
-		fault = q.read()
+	refusal := s.checkKey(ask.OnceKey)
+	if refusal == nil {
+		refusal = q.read()
 	}
-	if fault != nil {
-		q.turnAway(fault)
+	if refusal != nil {
+		q.turnAway(refusal)
 		return
 	}
 	q.run()
@@ -76,10 +75,10 @@
 
 // Refuse ends a request that its face could not read, or not whole. Of a keyed one
 // not-run is said only where its key is shown to be free (section 5.7).
-func (s *Server) Refuse(ask *Ask, caller Caller, fault *verdict.Error) {
+func (s *Server) Refuse(ask *Ask, caller Caller, refusal *Refusal) {
 	q := s.request(ask, caller)
 	q.takeKey()
-	q.turnAway(fault)
+	q.turnAway(refusal)
 }
 
 // run takes moves until the request has its reply (section 5.1).
@@ -94,11 +93,11 @@
 		switch move.Step {
 		case ledger.StepClaim:
 			if full, comeBack := q.s.gate.Full(q.line(), q.kind.Queue, q.ledger.Expiry-q.s.clock.Now()); full {
-				q.turnAway(queueFull(comeBack))
+				q.turnAway(settled(queueFull(comeBack)))
 				return
 			}
 			if fault := q.takeClaim(); fault != nil {
-				q.failed(fault)
+				q.failed(settled(fault))
 				return
 			}
 			if q.reply != nil { // recorded by an earlier request of the same key
@@ -108,7 +107,7 @@
 		case ledger.StepWait:
 			if fault := q.await(move); fault != nil {
 				q.settleClaim(fault.Verdict)
-				q.failed(fault)
+				q.failed(q.refusal(fault))
 				return
 			}
 		case ledger.StepPrefill, ledger.StepDecode:
@@ -134,11 +133,11 @@
 			q.release()
 			fault := q.fault(move)
 			if q.ledger.Once && q.ledger.Claim == ledger.ClaimNone {
-				q.turnAway(fault)
+				q.turnAway(q.refusal(fault))
 				return
 			}
 			q.settleClaim(fault.Verdict)
-			q.failed(fault)
+			q.failed(q.refusal(fault))
 			return
 		}
 	}
@@ -167,19 +166,15 @@
 // look is the ledger's view of the world now.
 func (q *request) look() ledger.View {
 	now := q.s.clock.Now()
-	picture := q.fleet.Picture()
-	q.until = picture.Until
-	v := ledger.View{Now: now, Permit: q.s.clock.Now() < picture.Until, Budget: !q.spent && q.fleet.May()}
-	// A permit that is a moment late is waited for, as after a freeze.
-	if v.Permit {
-		q.without = 0
-	} else if q.without == 0 {
-		q.without = now
-	}
-	v.PermitSoon = now < q.without+q.s.settings.Bounds.InForce.D()/4
-	q.follow(picture)
-	q.decided = engine.Decided{
-		Node: q.s.settings.Listen, Desk: picture.DeskSerial, File: picture.DeskDigest, Engines: picture.Engines.Serial, Sites: picture.SiteSerial,
+	v := ledger.View{Now: now, Budget: !q.spent && q.fleet.May()}
+	if inForce, held := q.fleet.InForce(); held {
+		v.Permit = true
+		q.inForce = inForce
+		picture := inForce.Value()
+		q.follow(picture)
+		q.decided = engine.Decided{
+			Node: q.s.settings.Listen, Desk: picture.DeskSerial, File: picture.DeskDigest, Engines: picture.Engines.Serial, Sites: picture.SiteSerial,
+		}
 	}
 	v.Left = q.deaf || q.ctx.Err() != nil && !(q.ledger.Once && len(q.ledger.Goes) > 0)
 	// What was nominated must still be allowed by what is in force now.
@@ -216,27 +211,33 @@
 // defaultOut is how many tokens are put out where nobody says.
 const defaultOut = 16
 
-// read checks a request against the desk file in force.
-func (q *request) read() *verdict.Error {
-	picture := q.fleet.Picture()
+// read checks a request against the desk file in force. Without a lease nothing is known
+// of that, and the request is told to come back at once.
+func (q *request) read() *Refusal {
+	inForce, held := q.fleet.InForce()
+	if !held {
+		return q.s.noLease()
+	}
+	q.inForce = inForce
+	picture := inForce.Value()
 	if picture.Desk == nil {
-		return Bounce("no-desk-file", "no desk file is in force", 2*time.Second)
+		return ComeBack("no-desk-file", "no desk file is in force", 2*time.Second)
 	}
 	d, k, err := picture.Desk.Match(q.ask.Facts)
 	if errors.Is(err, desk.ErrRule) {
-		return Bounce("rule-failed", "a rule of the desk file failed", 2*time.Second)
+		return ComeBack("rule-failed", "a rule of the desk file failed", 2*time.Second)
 	}
 	if err != nil {
 		field, status := FieldKind, http.StatusBadRequest
 		if d.Name == "" {
 			field, status = fieldModel, http.StatusNotFound
 		}
-		return Bad(status, "unknown-desk", field, "%s", err)
+		return Under(inForce, q.s.ComeBackAfter(), Bad(status, "unknown-desk", field, "%s", err))
 	}
 	q.govern(picture, d, k)
 	q.out = q.ask.Out
 	if fault := q.allowed(k); fault != nil {
-		return fault
+		return Under(inForce, q.s.ComeBackAfter(), fault)
 	}
 	if q.out == 0 {
 		q.out = min(defaultOut, k.MaxTokens)
@@ -302,8 +303,3 @@
 func Bad(status int, code, field, format string, args ...any) *verdict.Error {
 	return &verdict.Error{Verdict: verdict.NotRun, Status: status, Code: code, Field: field, Reason: fmt.Sprintf(format, args...)}
 }
-
-// Bounce is the fault of a request that may be served later: not-run, come back after.
-func Bounce(code, reason string, after time.Duration) *verdict.Error {
-	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: code, Reason: reason, RetryAfter: max(after, time.Second)}
-}
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -17,6 +17,7 @@
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/gate"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
@@ -34,11 +35,28 @@
 	read   func(n int) error
 	write  func(n int, g Go) (Reply, error)
 	last   Ended
+	full   bool // no engine can be reserved
+	rested []string
+	now    time.Duration        // boot time; 0: a minute
+	tell   func() time.Duration // boot time, where it moves by itself
+	until  func() time.Duration // of the lease; nil: long enough
 }
 
-func (w *world) Now() time.Duration { return time.Minute }
-func (w *world) Picture() Picture {
-	return Picture{Desk: w.file, DeskSerial: 1, Until: time.Hour}
+func (w *world) Now() time.Duration {
+	if w.tell != nil {
+		return w.tell()
+	}
+	if w.now > 0 {
+		return w.now
+	}
+	return time.Minute
+}
+func (w *world) InForce() (InForce, bool) {
+	until := time.Hour
+	if w.until != nil {
+		until = w.until()
+	}
+	return lease.Give(lease.Clock(w), until, Picture{Desk: w.file, DeskSerial: 1})
 }
 func (w *world) Real(time.Duration) {}
 func (w *world) May() bool          { return true }
@@ -56,6 +74,9 @@
 	return pairing.Server{Listed: engine.Listed{Name: name}}
 }
 func (w *world) Reserve(Want, time.Duration) (pairing.Pair, explain.Nomination, bool) {
+	if w.full {
+		return pairing.Pair{}, explain.Nomination{}, false
+	}
 	if w.direct {
 		w.taken++
 		return pairing.Pair{Writer: w.server("w"), Direct: true}, explain.Nomination{}, true
@@ -76,7 +97,7 @@
 func (w *world) Well(string)                                              {}
 func (w *world) Full(string)                                              {}
 func (w *world) Outdated(string)                                          {}
-func (w *world) RestFor(string, time.Duration)                            {}
+func (w *world) RestFor(name string, _ time.Duration)                     { w.rested = append(w.rested, name) }
 func (w *world) Heard(string, engine.Load, time.Duration)                 {}
 func (w *world) Load(context.Context, engine.Listed) (engine.Load, error) { return engine.Load{}, nil }
 func (w *world) Order(context.Context, engine.Listed, engine.Order) error { return nil }
@@ -123,10 +144,17 @@
 	text, end string
 	begins    int
 	fault     *verdict.Error
+	before    func() // runs right before a refusal is told
 }
 
-func (h *heard) Context() context.Context   { return context.Background() }
-func (h *heard) Fail(fault *verdict.Error)  { h.end, h.fault = h.end+"fail", fault }
+func (h *heard) Context() context.Context { return context.Background() }
+func (h *heard) Fail(refusal *Refusal) *verdict.Error {
+	if h.before != nil {
+		h.before()
+	}
+	h.end, h.fault = h.end+"fail", refusal.Told()
+	return h.fault
+}
 func (h *heard) Begin(Head) error           { h.begins++; return nil }
 func (h *heard) Piece(b []byte) error       { h.text += string(b); return nil }
 func (h *heard) End() error                 { h.end += "end"; return nil }
@@ -134,7 +162,10 @@
 
 var errCut = &verdict.Error{Verdict: verdict.MayHaveRun, Code: engine.CodeCut}
 
-func (w *world) serve(kind desk.Kind, stream bool) (*heard, explain.Record) {
+// serverOf is a server with one desk "d" of one kind.
+func (w *world) serverOf(kind desk.Kind) *Server { return w.path(kind, explain.NewBook(1)) }
+
+func (w *world) path(kind desk.Kind, book *explain.Book) *Server {
 	kind.Name, kind.Queue, kind.MaxTokens, kind.Share, kind.Streams, kind.Once = "k", 10, 100, 1, true, desk.OnceNever
 	kind.Expiry = settings.Default().Bounds.Recovery
 	b, err := json.Marshal(desk.File{Pools: []desk.Pool{{Name: "p", MinPrefill: 1, MinDecode: 1}}, Desks: []desk.Desk{{Name: "d", Pool: "p", Kinds: []desk.Kind{kind}}}})
@@ -142,13 +173,16 @@
 	file, faults := desk.Parse(b)
 	So(faults, ShouldBeEmpty)
 	w.file = file
-	book := explain.NewBook(1)
-	s := New(Joined{
+	return New(Joined{
 		Settings: settings.Default(), Log: event.New(&log.Logger{Handler: memory.New(), Level: log.ErrorLevel}), Clock: w, Fleet: w,
 		Engines: w, Gate: gate.New(w), Book: book, Speech: w,
 	})
+}
+
+func (w *world) serve(kind desk.Kind, stream bool) (*heard, explain.Record) {
+	book := explain.NewBook(1)
 	h := &heard{}
-	s.Serve(&Ask{ID: "a", Facts: desk.Facts{Model: "d"}, Stream: stream}, h)
+	w.path(kind, book).Serve(&Ask{ID: "a", Facts: desk.Facts{Model: "d"}, Stream: stream}, h)
 	So(w.taken, ShouldEqual, 0)
 	record, _ := book.Find("a")
 	// What was decided here is decided alike from the record.
