An operator's answer rests on a majority read that is young as it leaves

Cause: the newest version was read from a majority, with four seconds of patience, and an answer left whenever it was ready: a machine without a majority kept the operator waiting past its second of silence, and a freeze after the read made an answer old.

Change: control.Evidence is what a majority showed, for 3/8 of in_force from when it was asked for; 200, 412, 400 by the version and the configuration leave by it alone, and are read anew where it is too old. A call is answered within 750 ms, 503 or 504.

--- a/bench/platform/product.go
+++ b/bench/platform/product.go
@@ -52,9 +52,10 @@
 // keeper is the control state as the platform's operators edit it.
 type keeper struct{ control *control.Control }
 
-func (k keeper) Desk(ctx context.Context) (desk.Stored, uint64, error) {
-	stored, serial, fault := k.control.DeskInForce(ctx)
-	return stored, serial, asError(fault)
+func (k keeper) Desk(ctx context.Context) (product.Reading, error) {
+	shown, fault := k.control.DeskInForce(ctx)
+	stored := shown.Value()
+	return product.Reading{Shown: shown, Stored: stored.Stored, Serial: stored.Serial}, asError(fault)
 }
 
 func (k keeper) EditDesk(ctx context.Context, base uint64, id string, next desk.Stored) error {
@@ -65,9 +66,9 @@
 	return outcome(done, fault)
 }
 
-func (k keeper) EmptySite(ctx context.Context, site string, empty bool) error {
+func (k keeper) EmptySite(ctx context.Context, site string, empty bool) (product.Shown, error) {
 	done, _, fault := k.control.EmptySite(ctx, site, empty)
-	return outcome(done, fault)
+	return done.Shown, outcome(done, fault)
 }
 
 func outcome(done control.Outcome, fault *verdict.Error) error {
--- a/cmd/linedrum/platform.go
+++ b/cmd/linedrum/platform.go
@@ -126,9 +126,10 @@
 }
 
 // Desk implements platform.Keeper.
-func (k keeper) Desk(ctx context.Context) (desk.Stored, uint64, error) {
-	stored, serial, fault := k.control.DeskInForce(ctx)
-	return stored, serial, asError(fault)
+func (k keeper) Desk(ctx context.Context) (platform.Reading, error) {
+	shown, fault := k.control.DeskInForce(ctx)
+	stored := shown.Value()
+	return platform.Reading{Shown: shown, Stored: stored.Stored, Serial: stored.Serial}, asError(fault)
 }
 
 // EditDesk implements platform.Keeper.
@@ -143,9 +144,9 @@
 }
 
 // EmptySite implements platform.Keeper.
-func (k keeper) EmptySite(ctx context.Context, site string, empty bool) error {
+func (k keeper) EmptySite(ctx context.Context, site string, empty bool) (platform.Shown, error) {
 	done, _, fault := k.control.EmptySite(ctx, site, empty)
-	return outcome(done, fault)
+	return done.Shown, outcome(done, fault)
 }
 
 func outcome(done control.Outcome, fault *verdict.Error) error {
--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 	"linedrum.example/linedrum/core"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/verdict"
 )
@@ -30,36 +31,89 @@
 // Control is one node's way to the control state; safe for concurrent use.
 type Control struct {
 	registers Registers
-	patience  time.Duration
+	clock     lease.Clock
+	inForce   time.Duration
 }
 
-// New makes one; an operation that is not decided within the patience is not done, or
-// its outcome is unknown.
-func New(r Registers, patience time.Duration) *Control { return &Control{r, patience} }
+// New makes one for a fleet with the in-force bound. An operation that is not decided
+// within twice the bound is not done, or its outcome is unknown.
+func New(r Registers, clock lease.Clock, inForce time.Duration) *Control {
+	return &Control{registers: r, clock: clock, inForce: inForce}
+}
+
+const (
+	// patienceBounds is how long an operation may take, in in-force bounds.
+	patienceBounds = 2
+	// answerWithin is how long an operator waits for an answer here: a second of silence
+	// sends it to another node, so what is not decided by then is answered as such.
+	answerWithin = 750 * time.Millisecond
+	// answerPerByte is what an operator waits longer for each byte that it sends.
+	answerPerByte = 5 * time.Microsecond
+)
+
+// AnswerWithin bounds ctx by the time that an operator's call with a body of so many
+// bytes (negative: not known) is to be answered in, be it by trying elsewhere.
+func AnswerWithin(ctx context.Context, bytes int64) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, answerWithin+time.Duration(max(bytes, 0))*answerPerByte)
+}
+
+// evidenceAge is how old what a majority showed may be when an answer that rests on it
+// leaves, counted in boot time from when it was asked for (design.md section 4.7).
+func (c *Control) evidenceAge() time.Duration { return c.inForce * 3 / 8 }
+
+// Evidence is what a majority of the disks showed, for as long as an answer may rest on it.
+type Evidence[T any] = lease.Grant[T]
+
+// evidence is of what was asked for at a moment; it may be too old already.
+func evidence[T any](c *Control, asked time.Duration, shown T) Evidence[T] {
+	e, _ := lease.Give(c.clock, asked+c.evidenceAge(), shown)
+	return e
+}
 
-// Read reads one key through its holder: linearizable. The fault is not-run.
-func (c *Control) Read(ctx context.Context, key string) (register.Cell, *verdict.Error) {
-	res := c.registers.Do(ctx, register.Request{Key: key, Read: true, Patience: c.patience})
-	if res.Outcome != register.Done {
-		return register.Cell{}, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "no-majority",
-			Reason: "no majority of the disks replied", RetryAfter: time.Second}
+// noMajority is the fault of an operation that nothing came of.
+func noMajority() *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "no-majority",
+		Reason: "no majority of the disks replied; another node may reach one", RetryAfter: time.Second}
+}
+
+// Read reads one key through its holder: linearizable. The fault is not-run; without one
+// the evidence held when the read was done.
+func (c *Control) Read(ctx context.Context, key string) (Evidence[register.Cell], *verdict.Error) {
+	for ctx.Err() == nil {
+		asked := c.clock.Now()
+		res := c.registers.Do(ctx, register.Request{Key: key, Read: true, Patience: patienceBounds * c.inForce})
+		if res.Outcome != register.Done {
+			break
+		}
+		if e := evidence(c, asked, res.Cell); e.Held() {
+			return e, nil
+		}
 	}
-	return res.Cell, nil
+	return Evidence[register.Cell]{}, noMajority()
 }
 
-// DeskInForce reads the newest desk file, linearizably: what is stored and the
-// register's serial, 0 where there is none yet. The fault is not-run.
-func (c *Control) DeskInForce(ctx context.Context) (desk.Stored, uint64, *verdict.Error) {
-	cell, fault := c.Read(ctx, core.KeyDesk)
-	if fault != nil || cell.Serial == 0 {
-		return desk.Stored{}, 0, fault
+// StoredDesk is the newest desk file as a majority holds it.
+type StoredDesk struct {
+	desk.Stored
+	Serial uint64 // of the register; 0: there is none yet
+}
+
+// DeskInForce reads the newest desk file, linearizably. The fault is not-run.
+func (c *Control) DeskInForce(ctx context.Context) (Evidence[StoredDesk], *verdict.Error) {
+	read, fault := c.Read(ctx, core.KeyDesk)
+	if fault != nil {
+		return Evidence[StoredDesk]{}, fault
 	}
-	stored, err := desk.DecodeStored(cell.Value)
-	if err != nil {
-		return stored, cell.Serial, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusInternalServerError, Code: "unreadable",
-			Reason: "the stored desk file cannot be read", Cause: err}
+	cell := read.Value()
+	found := StoredDesk{Serial: cell.Serial}
+	if cell.Serial > 0 {
+		var err error
+		if found.Stored, err = desk.DecodeStored(cell.Value); err != nil {
+			return Evidence[StoredDesk]{}, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusInternalServerError, Code: "unreadable",
+				Reason: "the stored desk file cannot be read", Cause: err}
+		}
 	}
-	return stored, cell.Serial, nil
+	return evidence(c, read.Until()-c.evidenceAge(), found), nil
 }
 
 // Edit is a desk file on top of the one that stands under the serial Base.
@@ -76,6 +130,8 @@
 	register.Outcome        // Done, Conflict, NotDone or Unknown
 	Serial           uint64 // Done: of the edit. Conflict: which it lost to
 	Repeated         bool   // it had been taken before, under the same id
+	// Shown is how long an answer may rest on it (Done, Conflict).
+	Shown lease.Holder
 }
 
 // ApplyDesk takes a whole desk file, or nothing of it (section 4.3). The fault says
@@ -84,15 +140,16 @@
 	if e.ID == "" {
 		e.ID = c.registers.OpID()
 	}
-	stored, serial, fault := c.DeskInForce(ctx)
+	shown, fault := c.DeskInForce(ctx)
 	if fault != nil {
 		return Outcome{Outcome: register.NotDone}, fault
 	}
+	stored := shown.Value()
 	if serial, had := stored.Find(e.ID); had {
-		return Outcome{Outcome: register.Done, Serial: serial, Repeated: true}, nil
+		return Outcome{Outcome: register.Done, Serial: serial, Repeated: true, Shown: shown}, nil
 	}
-	if serial != e.Base {
-		return Outcome{Outcome: register.Conflict, Serial: serial}, nil
+	if stored.Serial != e.Base {
+		return Outcome{Outcome: register.Conflict, Serial: stored.Serial, Shown: shown}, nil
 	}
 	next := stored.Next(e.File, e.ID, e.Base+1)
 	next.Edition, next.Source = e.Edition, e.Source
@@ -101,9 +158,10 @@
 		return Outcome{Outcome: register.NotDone}, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusInternalServerError, Code: "unreadable",
 			Reason: "the desk file cannot be stored", Cause: err}
 	}
-	res := c.registers.Do(ctx, register.Request{Key: core.KeyDesk, Base: e.Base, Op: "desk:" + e.ID, Value: value, Patience: c.patience})
+	asked := c.clock.Now()
+	res := c.registers.Do(ctx, register.Request{Key: core.KeyDesk, Base: e.Base, Op: "desk:" + e.ID, Value: value, Patience: patienceBounds * c.inForce})
 	c.registers.Hurry()
-	return Outcome{Outcome: res.Outcome, Serial: res.Cell.Serial}, nil
+	return Outcome{Outcome: res.Outcome, Serial: res.Cell.Serial, Shown: evidence(c, asked, res.Cell)}, nil
 }
 
 // Change edits a key on top of whatever it holds: next derives the value, or gives
@@ -113,19 +171,21 @@
 func (c *Control) Change(ctx context.Context, key string, next func(register.Cell) []byte) (Outcome, *verdict.Error) {
 	op := c.registers.OpID()
 	for range 4 {
-		cell, fault := c.Read(ctx, key)
+		shown, fault := c.Read(ctx, key)
 		if fault != nil {
 			return Outcome{Outcome: register.NotDone}, fault
 		}
+		cell := shown.Value()
 		value := next(cell)
 		if value == nil {
-			return Outcome{Outcome: register.Done, Serial: cell.Serial, Repeated: true}, nil
+			return Outcome{Outcome: register.Done, Serial: cell.Serial, Repeated: true, Shown: shown}, nil
 		}
-		res := c.registers.Do(ctx, register.Request{Key: key, Base: cell.Serial, Op: op, Value: value, Patience: c.patience})
+		asked := c.clock.Now()
+		res := c.registers.Do(ctx, register.Request{Key: key, Base: cell.Serial, Op: op, Value: value, Patience: patienceBounds * c.inForce})
 		c.registers.Hurry()
 		switch res.Outcome {
 		case register.Done:
-			return Outcome{Outcome: register.Done, Serial: cell.Serial + 1}, nil
+			return Outcome{Outcome: register.Done, Serial: cell.Serial + 1, Shown: evidence(c, asked, res.Cell)}, nil
 		case register.Conflict:
 			continue
 		}
--- a/face/ops.go
+++ b/face/ops.go
@@ -11,6 +11,7 @@
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/strict"
@@ -25,8 +26,36 @@
 		Field: faults[0].Place, Reason: what + " is at fault: " + faults[0].Reason, Cause: faults}
 }
 
+// operator bounds an operator's call: what is not decided in time is answered by trying
+// elsewhere (design.md section 4.7).
+func operator(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := control.AnswerWithin(r.Context(), r.ContentLength)
+		defer cancel()
+		serve(w, r.WithContext(ctx))
+	}
+}
+
+// standing tells whether an answer may still rest on what a majority showed. If not, it
+// replies: sent tells that something may have been changed.
+func (f *Face) standing(w http.ResponseWriter, shown lease.Holder, sent bool) bool {
+	if shown != nil && shown.Held() {
+		return true
+	}
+	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "stale",
+		Reason: "what a majority showed is too old by now: ask another node", RetryAfter: time.Second}
+	if sent {
+		e.Verdict, e.Status = verdict.MayHaveRun, http.StatusGatewayTimeout
+	}
+	f.fail(w, e)
+	return false
+}
+
 // passed is the reply to an edit that lost, with the serial that it lost to.
-func (f *Face) passed(w http.ResponseWriter, serial uint64, id string) {
+func (f *Face) passed(w http.ResponseWriter, serial uint64, id string, shown lease.Holder) {
+	if !f.standing(w, shown, false) {
+		return
+	}
 	e := &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusConflict, Code: "serial-passed",
 		Reason: "the serial in force is " + strconv.FormatUint(serial, 10) + ": this edit was not based on it"}
 	p := problemOf(e, id)
@@ -35,16 +64,19 @@
 }
 
 func (f *Face) getDesk(w http.ResponseWriter, r *http.Request) {
-	stored, serial, fault := f.control.DeskInForce(r.Context())
+	shown, fault := f.control.DeskInForce(r.Context())
 	if fault != nil {
 		f.fail(w, fault)
 		return
 	}
+	stored := shown.Value()
 	file := stored.File
-	if serial == 0 {
+	if stored.Serial == 0 {
 		file = json.RawMessage("null")
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"serial": serial, "file": file})
+	if f.standing(w, shown, false) {
+		writeJSON(w, http.StatusOK, map[string]any{"serial": stored.Serial, "file": file})
+	}
 }
 
 // getWindow names the window that new once-only keys are made in (section 3.7).
@@ -112,12 +144,13 @@
 	switch {
 	case fault != nil:
 		f.fail(w, fault)
+	case done.Outcome == register.Done && !f.standing(w, done.Shown, true):
 	case done.Outcome == register.Done && done.Repeated:
 		writeJSON(w, http.StatusOK, map[string]any{"serial": done.Serial, "id": id, "repeated": true})
 	case done.Outcome == register.Done:
 		writeJSON(w, http.StatusOK, map[string]any{"serial": done.Serial, "id": id})
 	case done.Outcome == register.Conflict:
-		f.passed(w, done.Serial, id)
+		f.passed(w, done.Serial, id, done.Shown)
 	case done.Outcome == register.NotDone:
 		f.fail(w, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "no-majority",
 			Reason: "no majority of the disks replied; nothing was changed", RetryAfter: time.Second})
@@ -134,17 +167,20 @@
 		f.fail(w, serve.Bad(http.StatusBadRequest, "bad-field", "id", "the query must say id=ID, the id of the apply"))
 		return
 	}
-	stored, inForce, fault := f.control.DeskInForce(r.Context())
+	shown, fault := f.control.DeskInForce(r.Context())
 	if fault != nil {
 		f.fail(w, fault)
 		return
 	}
+	stored := shown.Value()
 	serial, had := stored.Find(id)
-	out := map[string]any{"id": id, "accepted": had, "serial_in_force": inForce}
+	out := map[string]any{"id": id, "accepted": had, "serial_in_force": stored.Serial}
 	if had {
 		out["serial"] = serial
 	}
-	writeJSON(w, http.StatusOK, out)
+	if f.standing(w, shown, false) {
+		writeJSON(w, http.StatusOK, out)
+	}
 }
 
 // putEngines takes the platform's list; an older one is refused by its own serial.
@@ -182,7 +218,7 @@
 	case same:
 		writeJSON(w, http.StatusOK, map[string]any{"serial": held.Serial, "repeated": true})
 	default:
-		f.passed(w, held.Serial, "")
+		f.passed(w, held.Serial, "", done.Shown)
 	}
 }
 
@@ -193,7 +229,7 @@
 	case fault != nil:
 		f.fail(w, fault)
 	case done.Outcome == register.Done:
-		return true
+		return f.standing(w, done.Shown, !done.Repeated)
 	case done.Outcome == register.Conflict:
 		f.fail(w, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "busy", Reason: "other edits kept coming between; send it again", RetryAfter: time.Second})
 	default:
@@ -204,17 +240,19 @@
 }
 
 func (f *Face) getEngines(w http.ResponseWriter, r *http.Request) {
-	cell, fault := f.control.Read(r.Context(), core.KeyEngines)
+	shown, fault := f.control.Read(r.Context(), core.KeyEngines)
 	if fault != nil {
 		f.fail(w, fault)
 		return
 	}
 	var list engine.List
-	_ = json.Unmarshal(cell.Value, &list)
+	_ = json.Unmarshal(shown.Value().Value, &list)
 	if list.Engines == nil {
 		list.Engines = []engine.Listed{}
 	}
-	writeJSON(w, http.StatusOK, list)
+	if f.standing(w, shown, false) {
+		writeJSON(w, http.StatusOK, list)
+	}
 }
 
 type siteEdit struct {
@@ -234,8 +272,10 @@
 		f.fail(w, faultsError(faults, "the request"))
 		return
 	}
+	inForce, _ := f.n.InForce() // before the look, so that the lease covers it
 	if !f.n.KnowsSite(want.Site) {
-		f.fail(w, serve.Bad(http.StatusNotFound, "unknown-site", "site", "no node and no engine is at site %q", want.Site))
+		f.refuse(w, serve.Under(inForce, f.path.ComeBackAfter(),
+			serve.Bad(http.StatusNotFound, "unknown-site", "site", "no node and no engine is at site %q", want.Site)))
 		return
 	}
 	done, empty, fault := f.control.EmptySite(r.Context(), want.Site, want.State == "empty")
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
 		speech: outside.Speech, lister: outside.Lister,
 	}
-	n.Control = control.New(n, 2*s.Bounds.InForce.D())
+	n.Control = control.New(n, n.clock, s.Bounds.InForce.D())
 	defer func() {
 		if err != nil {
 			n.cleanup.Run()
