Engines of a site taken back count as cold until the list covers that

The engines of an emptied site may have become cold when it is taken back. Nodes knew it only from the register's list: at its next change, after the list's lag, and never where the duty had changed hands, since the first look of a new holder was taken for the measure of later ones.

The sites' state says under which serial a site was taken back, the list up to which one it covers what happened: its look began lag_ms after that was in force at the looker (package warmth). Until then a site's engines are cold, for warm_for at most. The duty looks as soon as a look covers. A first look records what is cold; a look is written only on the list that was in force when it began. A go takes its turn at a cold engine when it is sent, not only when it is nominated, and a process counts as having sent at its start, for its life before.

--- a/bench/platform/product.go
+++ b/bench/platform/product.go
@@ -29,7 +29,7 @@
 	says := event.New(&log.Logger{Handler: jsonlog.New(out), Level: log.InfoLevel})
 	bounds := place.Settings.Bounds
 	started, err := node.Start(place.Settings, says, host, node.Outside{
-		Speech: product.NewSpeech(host.Net, host.Clock, bounds), Lister: product.NewList(host.Net, host.Clock, bounds, place.List, place.ListRate),
+		Speech: product.NewSpeech(host.Net, host.Clock, bounds), Lister: product.NewList(host.Net, host.Clock, bounds, place.List, place.ListRate, place.ListLag),
 		Faces: []func(*node.Node) (node.Face, error){node.Own, func(n *node.Node) (node.Face, error) {
 			return product.NewFace(product.Node{
 				Place: place, Net: n.Net(), Server: n.Path(), Keeper: keeper{n.Control},
--- a/cmd/linedrum/platform.go
+++ b/cmd/linedrum/platform.go
@@ -100,7 +100,7 @@
 // startOn brings a node up with the platform's faces, engines and list.
 func startOn(place platform.Place, out *event.Log) (*node.Node, error) {
 	bounds := place.Settings.Bounds
-	list := platform.NewList(link.Sockets{}, boot.Clock{}, bounds, place.List, place.ListRate)
+	list := platform.NewList(link.Sockets{}, boot.Clock{}, bounds, place.List, place.ListRate, place.ListLag)
 	return node.Start(place.Settings, out, node.Machine(), node.Outside{
 		Speech: platform.NewSpeech(link.Sockets{}, boot.Clock{}, bounds), Lister: list,
 		Faces: []func(*node.Node) (node.Face, error){node.Own, func(n *node.Node) (node.Face, error) {
--- a/control/control.go
+++ b/control/control.go
@@ -138,12 +138,13 @@
 func (c *Control) EmptySite(ctx context.Context, site string, empty bool) (Outcome, []string, *verdict.Error) {
 	var now []string
 	out, fault := c.Change(ctx, core.KeySites, func(cell register.Cell) []byte {
-		next := engine.SiteState{Empty: map[string]bool{}}
+		next := engine.SiteState{Empty: map[string]bool{}, Back: map[string]uint64{}}
 		_ = json.Unmarshal(cell.Value, &next)
 		if empty {
 			next.Empty[site] = true
-		} else {
+		} else if next.Empty[site] {
 			delete(next.Empty, site)
+			next.Back[site] = cell.Serial + 1
 		}
 		value, err := json.Marshal(next)
 		if err != nil {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,6 +20,9 @@
 type List struct {
 	Serial  uint64   `json:"serial" need:"yes" min:"1"`
 	Engines []Listed `json:"engines" need:"yes" max:"4096"`
+	// Covers is the newest serial of the sites' state whose changes this list shows:
+	// engines of sites taken back later may be cold without standing here so.
+	Covers uint64 `json:"covers,omitempty"`
 }
 
 // Listed is one engine of the list.
@@ -124,4 +127,6 @@
 // SiteState is the register's value for the emptied sites.
 type SiteState struct {
 	Empty map[string]bool `json:"empty"`
+	// Back says under which serial of this state a site was last taken back.
+	Back map[string]uint64 `json:"back,omitempty"`
 }
--- a/node/control.go
+++ b/node/control.go
@@ -78,6 +78,7 @@
 		var state engine.SiteState
 		_ = json.Unmarshal(cell.Value, &state)
 		n.picture.Sites, n.picture.SiteSerial = state, cell.Serial
+		n.settling.Adopt(cell.Serial, n.clock.Now())
 	case key == core.KeyWindows:
 		number = event.WindowsTaken
 		n.picture.Windows = register.DecodeWindows(cell)
--- a/node/engines.go
+++ b/node/engines.go
@@ -14,6 +14,7 @@
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
+	"linedrum.example/linedrum/warmth"
 )
 
 // engines is the table of engines as this node sees them.
@@ -23,10 +24,12 @@
 	stale    time.Duration // a report older than this does not count
 	rest     time.Duration // an engine rests this long after a failed go
 	ramp     time.Duration // slow start
+	started  time.Duration // when this process did
 	listing  bool          // a lister says what engines play: nothing need be asked for service
 	mu       sync.Mutex    // taken after the gate's and the core lock
 	servers  map[string]*server
 	picture  serve.Picture
+	doubts   warmth.Doubts
 	slow     map[[2]string]linkCost
 	nodes    int
 	rank     int
@@ -51,7 +54,8 @@
 	failed   int // goes that failed in a row
 	ordered  engine.Fence
 	obeyed   time.Duration // when it took that order
-	began    time.Duration // when this node last began a go there; 0: never
+	began    time.Duration // when this node last nominated it for a go; 0: never
+	sent     time.Duration // when this node last sent a go there; 0: never
 	cold     time.Duration // until when it is cold
 }
 
@@ -77,16 +81,19 @@
 func (t *engines) take(p serve.Picture, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	looked := p.EngineSerial != t.picture.EngineSerial
 	t.picture = p
+	t.doubts.Take(p.Sites.Back, p.Engines.Covers, now)
 	listed := map[string]bool{}
 	for _, e := range p.Engines.Engines {
 		listed[e.Name] = true
 		s := t.servers[e.Name]
-		if s == nil || s.listed.Addr != e.Addr {
+		fresh := s == nil || s.listed.Addr != e.Addr
+		if fresh {
 			s = &server{}
 			t.servers[e.Name] = s
 		}
-		if e.ColdMS > 0 && e.ColdMS != s.listed.ColdMS {
+		if e.ColdMS > 0 && (fresh || looked) {
 			s.cold = now + time.Duration(e.ColdMS)*time.Millisecond
 		}
 		s.listed = e
@@ -134,11 +141,8 @@
 		role := t.picture.Roles[e.Pool].Table.Roles[e.Name]
 		one := pairing.Server{
 			Listed: e, Role: role, Load: s.load, Seen: s.at > 0 && now-s.at < t.stale,
-			Age: time.Duration(s.load.AgeMS)*time.Millisecond + now - s.at, Inflight: s.inflight, Since: s.since,
-			Resting: now < s.resting, Cold: max(s.cold-now, 0), Quiet: now,
-		}
-		if s.began > 0 {
-			one.Quiet = now - s.began
+			Age: t.age(s, now), Inflight: s.inflight, Since: s.since,
+			Resting: now < s.resting, Cold: t.coldLeft(s, now), Quiet: now - max(t.started, s.began, s.sent),
 		}
 		if len(parts) > 0 {
 			one.Kept = t.kept.Tokens(e.Name, e.Life, parts)
@@ -158,9 +162,6 @@
 				heard[e.Pool+" "+role] = heard[e.Pool+" "+role].plus(s.load)
 			}
 			one.Seen = true
-			if s.load.Boot == "" {
-				one.Age = t.ramp
-			}
 		}
 		if one.Load.Role != role {
 			one.Role = "" // it has not obeyed yet, or started anew
@@ -176,6 +177,27 @@
 	return out
 }
 
+// coldLeft is for how long an engine counts as cold yet. One of a site that was taken
+// back does until the list tells, or until it must have become warm. Called under t.mu.
+func (t *engines) coldLeft(s *server, now time.Duration) time.Duration {
+	until := s.cold
+	if since, doubted := t.doubts.Since(s.listed.Site); doubted {
+		until = max(until, since+t.warmFor(s.listed.Pool))
+	}
+	return max(until-now, 0)
+}
+
+// warmFor is how long an engine of a pool stays cold, as far as is told; else as long as
+// a slow start takes. Called under t.mu.
+func (t *engines) warmFor(pool string) time.Duration {
+	if t.picture.Desk != nil {
+		if p, ok := t.picture.Desk.Pool(pool); ok && p.WarmFor > 0 {
+			return p.WarmFor.D()
+		}
+	}
+	return t.ramp
+}
+
 // loads sums up what some engines said last.
 type loads struct{ engines, running, waiting int }
 
@@ -251,6 +273,43 @@
 	}
 }
 
+// Turn implements serve.Engines.
+func (t *engines) Turn(pool, name string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil {
+		return true // whoever nominated it is told that it is gone
+	}
+	one := pairing.Server{
+		Listed: s.listed, Age: t.age(s, now), Cold: t.coldLeft(s, now), Quiet: now - max(t.started, s.sent),
+	}
+	if !t.warming(pool).Turn(one) {
+		return false
+	}
+	s.sent = max(now, 1)
+	return true
+}
+
+// warming is the part of a view that goes to cold engines rest on. Called under t.mu.
+func (t *engines) warming(pool string) pairing.View {
+	v := pairing.View{Pool: pool, Nodes: t.nodes, Rank: t.rank, Partial: t.partial}
+	if t.picture.Desk != nil {
+		if p, ok := t.picture.Desk.Pool(pool); ok {
+			v.WarmRate, v.WarmFor = p.WarmRate, p.WarmFor.D()
+		}
+	}
+	return v
+}
+
+// age is how long an engine runs, by its last report. Called under t.mu.
+func (t *engines) age(s *server, now time.Duration) time.Duration {
+	if t.toldOf(s.listed) && s.load.Boot == "" {
+		return t.ramp
+	}
+	return time.Duration(s.load.AgeMS)*time.Millisecond + now - s.at
+}
+
 // Kept notes that an engine has a chain of parts in its memory now.
 func (t *engines) Kept(pool, name string, parts []engine.Part) {
 	t.mu.Lock()
--- a/node/list.go
+++ b/node/list.go
@@ -10,6 +10,9 @@
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/serve"
+	"linedrum.example/linedrum/settings"
+	"linedrum.example/linedrum/warmth"
 )
 
 // keyList is the duty of looking at the list of engines: whoever owns its register.
@@ -24,6 +27,15 @@
 	calls  int           // to the platform, that one look takes
 }
 
+// listLag is how far the platform's list lags behind; where that is not told, half as
+// long as engines that leave may get work is taken.
+func listLag(lister serve.Lister, bounds settings.Bounds) time.Duration {
+	if l, ok := lister.(interface{ Lag() time.Duration }); ok && l.Lag() > 0 {
+		return l.Lag()
+	}
+	return bounds.EngineLeave.D() / 2
+}
+
 // listPage is about how many engines a platform tells of at a call.
 const listPage = 50
 
@@ -40,7 +52,7 @@
 		n.mu.Lock()
 		now := n.clock.Now()
 		held := n.core.Hold(keyList) && n.core.Keeper.Held()
-		due := held && (!had.held || now-had.looked >= timing.Every) || !held && n.core.LookDue(had.calls, rate)
+		due := held && (!had.held || now-had.looked >= timing.Every || n.settles(had.looked, now)) || !held && n.core.LookDue(had.calls, rate)
 		if due {
 			n.core.Fresh.Tried(now)
 		}
@@ -55,11 +67,22 @@
 	})
 }
 
+// settles tells whether a look now would show for the first time what became of the
+// engines of sites that were taken back. Called under mu.
+func (n *Node) settles(looked, now time.Duration) bool {
+	from := n.settling.Since()
+	return looked < from && from <= now && warmth.Open(n.picture.Sites.Back, n.picture.Engines.Covers, n.settling.Covered(now))
+}
+
 // lookAtList takes what it sees away from service at once, has the register hold it,
 // and then tells the cohort that it looked.
 func (n *Node) lookAtList(ctx context.Context, had *listing, began, patience time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	n.mu.Lock()
+	// What another node writes from here on is not written over: it may have seen more.
+	base, view := n.core.Keeper.Cell(core.KeyEngines), sitesView{n.picture.Sites.Back, n.settling.Covered(began)}
+	n.mu.Unlock()
 	engines, err := n.lister.List(ctx)
 	if (err != nil) != had.silent {
 		had.silent = err != nil
@@ -80,9 +103,8 @@
 	n.mu.Lock()
 	n.core.Fresh.Looked(began, stays)
 	n.engines.takeAway(n.gone())
-	cell := n.core.Keeper.Cell(core.KeyEngines)
 	n.mu.Unlock()
-	if serial, ok := n.record(ctx, cell, engines, had); ok {
+	if serial, ok := n.record(ctx, base, engines, view, had); ok {
 		n.mu.Lock()
 		n.core.Looked(began, serial)
 		n.mu.Unlock()
@@ -106,23 +128,12 @@
 // record writes the list on top of the one in force where they differ, and tells under
 // which serial the register holds what was seen. What an edit that came between makes
 // stale is seen anew at the next turn.
-func (n *Node) record(ctx context.Context, cell register.Cell, engines []engine.Listed, had *listing) (uint64, bool) {
-	var held engine.List
-	_ = json.Unmarshal(cell.Value, &held)
-	changed := cell.Serial == 0 || differ(held.Engines, engines)
-	cold := map[string]int64{}
-	for _, e := range engines {
-		cold[e.Name] = e.ColdMS
-		// It only falls while nothing happens.
-		if last, seen := had.cold[e.Name]; seen && e.ColdMS > last {
-			changed = true
-		}
-	}
-	had.cold = cold
+func (n *Node) record(ctx context.Context, cell register.Cell, engines []engine.Listed, view sitesView, had *listing) (uint64, bool) {
+	next, changed := had.next(cell, engines, view)
 	if !changed {
 		return cell.Serial, true
 	}
-	value, err := json.Marshal(engine.List{Serial: cell.Serial + 1, Engines: engines})
+	value, err := json.Marshal(next)
 	if err != nil {
 		panic(err) // texts and numbers always encode
 	}
@@ -131,6 +142,35 @@
 	return r.Cell.Serial, r.Outcome == register.Done
 }
 
+// sitesView is what the looker knew of the sites when its look began.
+type sitesView struct {
+	back    map[string]uint64 // the serials that took sites back
+	covered uint64            // the newest serial whose changes the look shows
+}
+
+// next is the list to be recorded on top of the one in a cell after a look; false where
+// that one says the same.
+func (l *listing) next(cell register.Cell, engines []engine.Listed, view sitesView) (engine.List, bool) {
+	var held engine.List
+	_ = json.Unmarshal(cell.Value, &held)
+	changed := cell.Serial == 0 || differ(held.Engines, engines) || l.colder(engines) ||
+		warmth.Open(view.back, held.Covers, view.covered)
+	return engine.List{Serial: cell.Serial + 1, Engines: engines, Covers: max(held.Covers, view.covered)}, changed
+}
+
+// colder tells whether an engine may have become cold since this node's last look. That
+// it is cold only falls while nothing happens; what a node without an earlier look sees
+// may be news.
+func (l *listing) colder(engines []engine.Listed) bool {
+	found, cold := false, map[string]int64{}
+	for _, e := range engines {
+		cold[e.Name] = e.ColdMS
+		found = found || e.ColdMS > l.cold[e.Name]
+	}
+	l.cold = cold
+	return found
+}
+
 // differ tells whether two lists say other things, but for how cold engines are.
 func differ(a, b []engine.Listed) bool {
 	if len(a) != len(b) {
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/speech"
 	"linedrum.example/linedrum/wal"
+	"linedrum.example/linedrum/warmth"
 	"linedrum.example/linedrum/wire"
 )
 
@@ -53,6 +54,7 @@
 	// firstDisks is who was to found the fleet when this machine's disk was born.
 	firstDisks []string
 	picture    serve.Picture
+	settling   warmth.Settling // of the sites' state, under mu
 	tableNews  tableNews
 	desks      desks
 	planner    map[string]*roles.Planner // of the duties' own goroutine
@@ -108,7 +110,7 @@
 	n := &Node{
 		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, planner: map[string]*roles.Planner{}, rivals: map[string]*core.Rivalry{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
-		speech: outside.Speech, lister: outside.Lister,
+		speech: outside.Speech, lister: outside.Lister, settling: warmth.Settling{Lag: listLag(outside.Lister, s.Bounds)},
 	}
 	n.Control = control.New(n, 2*s.Bounds.InForce.D())
 	defer func() {
@@ -148,7 +150,7 @@
 		n.cleanup.Add(c.Close)
 	}
 	n.engines = newEngines(s.Site, recovery, n.lister != nil)
-	n.engines.self = s.Listen
+	n.engines.self, n.engines.started = s.Listen, n.clock.Now()
 	n.gate = gate.New(n.clock)
 	if err = bus.Subscribe(n.bus, bus.TopicRequest, n.counters.ended); err != nil {
 		return nil, errors.Trace(err)
--- a/pairing/cold.go
+++ b/pairing/cold.go
@@ -10,6 +10,10 @@
 	return s.Cold > 0 || v.WarmFor > 0 && s.Age < v.WarmFor
 }
 
+// Turn tells whether a go that was nominated earlier may be sent now: a cold engine may
+// have had another one of this node meanwhile.
+func (v View) Turn(s Server) bool { return v.WarmRate <= 0 || !v.cold(s) || v.warming(s) }
+
 // warming tells whether this node may begin one more go at a cold engine now.
 //
 // The fleet is held to its rate without a word: no more than half as many nodes as
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -24,7 +24,9 @@
 	// Backlog is how long it reads on what came before, as far as this node knows.
 	Backlog time.Duration `json:",omitempty"`
 	Cold    time.Duration `json:",omitempty"` // it stays cold for so long yet
-	Quiet   time.Duration `json:",omitempty"` // since this node last began a go there
+	// Quiet is since this node last began a go there, or since it started: its life
+	// before may have begun one until then.
+	Quiet time.Duration `json:",omitempty"`
 }
 
 // View is everything else that a nomination rests on.
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -86,6 +86,9 @@
 	Idle(pool string, now time.Duration) bool
 	// Usable tells whether a go may still go to an engine, by what is in force now.
 	Usable(pool, name, role string) bool
+	// Turn tells whether a go may be sent to an engine now, and counts it as sent: a cold
+	// one takes a go of this node at a distance only, whenever it was nominated.
+	Turn(pool, name string, now time.Duration) bool
 	// NoteLink takes what one hand-over cost into account; 1 is as bad as a full engine.
 	NoteLink(reader, writer string, cost float64, now time.Duration)
 	Well(name string)                                       // it finished a go
--- a/serve/request.go
+++ b/serve/request.go
@@ -112,6 +112,9 @@
 				return
 			}
 		case ledger.StepPrefill, ledger.StepDecode:
+			if !q.turn(move.Step) {
+				continue
+			}
 			if move.Repeat && !q.spend() {
 				// Another request took the last of the budget since the look.
 				q.spent = true
@@ -144,6 +147,20 @@
 	}
 }
 
+// turn takes the next go's turn at its engine. A cold engine may have none, since goes
+// wait for the read after their writer was nominated: another writer is looked for.
+func (q *request) turn(step ledger.Step) bool {
+	name := q.pair.Writer.Name
+	if step == ledger.StepPrefill {
+		name = q.pair.Reader.Name
+	}
+	if q.engines.Turn(q.pool, name, q.s.clock.Now()) {
+		return true
+	}
+	q.release()
+	return false
+}
+
 // spend takes one repeated go out of the budget, if there is one left.
 func (q *request) spend() bool {
 	if !q.fleet.Spend() {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -29,7 +29,9 @@
 	direct bool
 	begun  []string // "phase engine after", in order
 	freed  []string
-	taken  int // reservations not given back
+	taken  int                           // reservations not given back
+	turns  func(name string, n int) bool // the nth asked for; nil: all are given
+	asked  int
 	spends int
 	read   func(n int) error
 	write  func(n int, g Go) (Reply, error)
@@ -67,6 +69,10 @@
 	w.taken++
 	return w.server("w"), explain.Nomination{}, true
 }
+func (w *world) Turn(_, name string, _ time.Duration) bool {
+	w.asked++
+	return w.turns == nil || w.turns(name, w.asked)
+}
 func (w *world) End(string)                                               { w.taken-- }
 func (w *world) Manner() Manner                                           { return Manner{TakenOnce: true, MayDirect: w.direct} }
 func (w *world) Kept(string, string, []Part)                              {}
@@ -213,6 +219,16 @@
 		So(len(record.Goes), ShouldEqual, 1)
 		So(w.spends, ShouldEqual, 0)
 	})
+	Convey("a go whose engine has no turn for it is not sent: its reservation is given back, and another one made", t, func() {
+		w := &world{write: func(int, Go) (Reply, error) { return stream(1, 2, io.EOF) }}
+		w.turns = func(_ string, n int) bool { return n == 2 || n == 4 }
+		h, record := w.serve(desk.Kind{Goes: 1}, false)
+		So(h, ShouldResemble, &heard{text: "1 2 ", end: "end", begins: 1})
+		So(w.begun, ShouldResemble, []string{"read r", "write after "})
+		So(w.asked, ShouldEqual, 4)
+		So(w.spends, ShouldEqual, 0)
+		So(record.Pairs, ShouldHaveLength, 3)
+	})
 	Convey("memory that no writer took is let go of", t, func() {
 		w := &world{write: func(int, Go) (Reply, error) {
 			return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: engine.CodeInput}
