Tests of cold engines: the joins of a node, when a look is due; a process counts from its first picture

The share of a node that starts again counts from its first picture, before which it can send nothing, so that the model holds it; when a look is due stands in package warmth, which the node and the model share.

--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -5,17 +5,24 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	randv2 "math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"linedrum.example/linedrum/bus"
 	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/core"
+	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
+	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/warmth"
 )
 
@@ -137,8 +144,8 @@
 	if m.fault == plantedEarly {
 		n.settling.Lag = 0
 	}
-	if m.fault != plantedRestart {
-		n.engines.started = m.now
+	if m.fault == plantedRestart {
+		n.engines.started = 1 // long ago
 	}
 	n.picture.Desk = modelDesk
 	n.picture.Roles = map[string]serve.RolesInForce{"p": {Table: engine.RoleTable{Roles: map[string]string{
@@ -268,18 +275,13 @@
 	if m.r.Intn(100) == 0 {
 		m.holder, m.memo = m.r.Intn(len(m.nodes)), &listing{}
 	}
-	if n := m.nodes[m.holder]; n.engines != nil && (m.now-m.looked >= modelEvery || m.settles(n)) {
+	if n := m.nodes[m.holder]; n.engines != nil && (m.now-m.looked >= modelEvery || n.settling.Due(m.looked, m.now, n.picture.Sites.Back, n.picture.Engines.Covers)) {
 		m.looked = m.now
 		m.look(n, m.memo)
 	}
 	m.record()
 }
 
-func (m *model) settles(n *modelNode) bool {
-	from := n.settling.Since()
-	return m.looked < from && from <= m.now && warmth.Open(n.picture.Sites.Back, n.picture.Engines.Covers, n.settling.Covered(m.now))
-}
-
 // play is one course: the most that a cold engine got in a second, and all it got.
 func play(seed int64, fault planted) (most, all int) {
 	m := &model{r: rand.New(rand.NewSource(seed)), fault: fault, cells: map[string]register.Cell{}, memo: &listing{}, arrivals: map[string][]time.Duration{}}
@@ -413,3 +415,50 @@
 		So(state(false).Back["z"], ShouldBeGreaterThan, 3)
 	})
 }
+
+// lagging is a list that tells how far it lags behind.
+type lagging struct{ lists }
+
+func (*lagging) Lag() time.Duration { return modelLag }
+
+// fixed is a clock that stands.
+type fixed time.Duration
+
+func (f fixed) Now() time.Duration { return time.Duration(f) }
+
+// TestColdJoined holds how a node joins the rule to its register and its list.
+func TestColdJoined(t *testing.T) {
+	Convey("a list's lag is what it tells, or else half of the bound for engines that leave", t, func() {
+		bounds := settings.Default().Bounds
+		So(listLag(&lagging{}, bounds), ShouldEqual, modelLag)
+		So(listLag(&lists{}, bounds), ShouldEqual, bounds.EngineLeave.D()/2)
+	})
+	Convey("once a site's return is in force its engines are cold here, and a look covers it after the lag", t, func() {
+		s := settings.Default()
+		s.Fleet, s.Listen, s.HTTP, s.Site, s.Seeds = "f", "10.0.0.1:1", "10.0.0.1:2", "s", []string{"10.0.0.1:1"}
+		threads := crew.New(t.Context())
+		defer threads.Wait()
+		clock := fixed(time.Minute)
+		n := &Node{settings: s, clock: clock, rand: randv2.New(randv2.NewPCG(1, 2)), bus: bus.New(threads),
+			log: event.New(&log.Logger{Handler: discard.New()}), engines: newEngines("s", s.Bounds.Recovery.D(), true), settling: warmth.Settling{Lag: modelLag}}
+		defer n.bus.Close()
+		n.core = core.New(s, nil, alone{ports{n}})
+		n.picture.Desk = modelDesk
+		listed := engine.List{Serial: 1, Engines: []engine.Listed{{Name: "e", Addr: "1", Pool: "p", Site: "z", State: "live", Role: engine.Decode, Slots: 64}}}
+		put := func(key string, serial uint64, value any) {
+			b, _ := json.Marshal(value)
+			n.adopt(key, register.Cell{Serial: serial, Value: b})
+		}
+		cold := func() bool { return n.engines.coldLeft(n.engines.servers["e"], clock.Now()) > 0 }
+		put(core.KeyEngines, 1, listed)
+		put(core.KeySites, 1, engine.SiteState{Empty: map[string]bool{"z": true}})
+		So(cold(), ShouldBeFalse)
+		put(core.KeySites, 2, engine.SiteState{Back: map[string]uint64{"z": 2}})
+		So(cold(), ShouldBeTrue)
+		So(n.settling.Covered(clock.Now()), ShouldBeLessThan, 2)
+		So(n.settling.Covered(clock.Now()+modelLag), ShouldEqual, 2)
+		listed.Covers = 2
+		put(core.KeyEngines, 2, listed)
+		So(cold(), ShouldBeFalse)
+	})
+}
--- a/node/engines.go
+++ b/node/engines.go
@@ -24,7 +24,7 @@
 	stale    time.Duration // a report older than this does not count
 	rest     time.Duration // an engine rests this long after a failed go
 	ramp     time.Duration // slow start
-	started  time.Duration // when this process did
+	started  time.Duration // when this process had its first picture; before, it sent nothing
 	listing  bool          // a lister says what engines play: nothing need be asked for service
 	mu       sync.Mutex    // taken after the gate's and the core lock
 	servers  map[string]*server
@@ -81,6 +81,9 @@
 func (t *engines) take(p serve.Picture, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.started == 0 {
+		t.started = now
+	}
 	looked := p.EngineSerial != t.picture.EngineSerial
 	t.picture = p
 	t.doubts.Take(p.Sites.Back, p.Engines.Covers, now)
--- a/node/list.go
+++ b/node/list.go
@@ -52,7 +52,7 @@
 		n.mu.Lock()
 		now := n.clock.Now()
 		held := n.core.Hold(keyList) && n.core.Keeper.Held()
-		due := held && (!had.held || now-had.looked >= timing.Every || n.settles(had.looked, now)) || !held && n.core.LookDue(had.calls, rate)
+		due := held && (!had.held || now-had.looked >= timing.Every || n.settling.Due(had.looked, now, n.picture.Sites.Back, n.picture.Engines.Covers)) || !held && n.core.LookDue(had.calls, rate)
 		if due {
 			n.core.Fresh.Tried(now)
 		}
@@ -67,13 +67,6 @@
 	})
 }
 
-// settles tells whether a look now would show for the first time what became of the
-// engines of sites that were taken back. Called under mu.
-func (n *Node) settles(looked, now time.Duration) bool {
-	from := n.settling.Since()
-	return looked < from && from <= now && warmth.Open(n.picture.Sites.Back, n.picture.Engines.Covers, n.settling.Covered(now))
-}
-
 // lookAtList takes what it sees away from service at once, has the register hold it,
 // and then tells the cohort that it looked.
 func (n *Node) lookAtList(ctx context.Context, had *listing, began, patience time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -150,7 +150,7 @@
 		n.cleanup.Add(c.Close)
 	}
 	n.engines = newEngines(s.Site, recovery, n.lister != nil)
-	n.engines.self, n.engines.started = s.Listen, n.clock.Now()
+	n.engines.self = s.Listen
 	n.gate = gate.New(n.clock)
 	if err = bus.Subscribe(n.bus, bus.TopicRequest, n.counters.ended); err != nil {
 		return nil, errors.Trace(err)
--- a/warmth/warmth.go
+++ b/warmth/warmth.go
@@ -35,8 +35,12 @@
 	return s.before
 }
 
-// Since is from when on looks cover the serial in force.
-func (s *Settling) Since() time.Duration { return s.at + s.Lag }
+// Due tells whether a look now would be the first to cover the serial in force, and a
+// site was taken back after what the list covers.
+func (s *Settling) Due(looked, now time.Duration, back map[string]uint64, covered uint64) bool {
+	from := s.at + s.Lag
+	return looked < from && from <= now && Open(back, covered, s.serial)
+}
 
 // Open tells whether some site was taken back after what a list covers, and up to what
 // another look covers.
--- a/warmth/warmth_test.go
+++ b/warmth/warmth_test.go
@@ -13,8 +13,7 @@
 		s.Adopt(3, 10*time.Second)
 		So(s.Covered(10*time.Second), ShouldEqual, 0)
 		So(s.Covered(10800*time.Millisecond-1), ShouldEqual, 0)
-		So(s.Since(), ShouldEqual, 10800*time.Millisecond)
-		So(s.Covered(s.Since()), ShouldEqual, 3)
+		So(s.Covered(10800*time.Millisecond), ShouldEqual, 3)
 		s.Adopt(4, 12*time.Second)
 		So(s.Covered(12*time.Second), ShouldEqual, 3)
 		// A second change at once does not make the first one's wait shorter.
@@ -22,6 +21,15 @@
 		So(s.Covered(12850*time.Millisecond), ShouldEqual, 3)
 		So(s.Covered(12900*time.Millisecond), ShouldEqual, 5)
 	})
+	Convey("a look is due at once when it would cover a return for the first time", t, func() {
+		s, back := Settling{Lag: 800 * time.Millisecond}, map[string]uint64{"a": 3}
+		s.Adopt(3, 10*time.Second)
+		due := func(looked, now time.Duration, covered uint64) bool { return s.Due(looked, now, back, covered) }
+		So(due(10700*time.Millisecond, 10799*time.Millisecond, 2), ShouldBeFalse)
+		So(due(10700*time.Millisecond, 10800*time.Millisecond, 2), ShouldBeTrue)
+		So(due(10800*time.Millisecond, 10900*time.Millisecond, 2), ShouldBeFalse)
+		So(due(10700*time.Millisecond, 10800*time.Millisecond, 3), ShouldBeFalse)
+	})
 	Convey("a look is worth recording where it covers what the list does not", t, func() {
 		back := map[string]uint64{"a": 2, "b": 5}
 		So(Open(back, 4, 5), ShouldBeTrue)
