--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/speech"
 	"linedrum.example/linedrum/wal"
+	"linedrum.example/linedrum/warmth"
 	"linedrum.example/linedrum/wire"
 )
 
@@ -52,6 +53,7 @@
 	folder    Folder
 	opened    *openedDisk // nil until the data folder is open
 	picture   serve.Picture
+	settling  warmth.Settling // of the sites' state, under mu
 	tableNews tableNews
 	desks     desks
 	planner   map[string]*roles.Planner // of the duties' own goroutine
@@ -107,7 +109,7 @@
 	n := &Node{
 		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, planner: map[string]*roles.Planner{}, rivals: map[string]*core.Rivalry{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
-		speech: outside.Speech, lister: outside.Lister,
+		speech: outside.Speech, lister: outside.Lister, settling: warmth.Settling{Lag: listLag(outside.Lister, s.Bounds)},
 	}
 	n.Control = control.New(n, n.clock, s.Bounds.InForce.D())
 	defer func() {
