--- a/node/engines.go
+++ b/node/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,15 @@
 	kept     *kept.Book
 	gone     map[string]bool  // left or leaving by this node's own look, though not yet in force
 	notices  chan kept.Notice // of this node's goes, for the cohort
+	tick     time.Duration    // a snapshot is used for no longer
+	latest   *snapshot        // nil: something that it rests on has changed since
+}
+
+// snapshot is the pairing's picture of the servers at a moment, without what they keep
+// of a prompt. It is never changed, since explanations hold it.
+type snapshot struct {
+	servers []pairing.Server
+	at      time.Duration
 }
 
 type server struct {
@@ -68,7 +78,7 @@
 
 func newEngines(site string, recovery time.Duration, listing bool) *engines {
 	return &engines{
-		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6,
+		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6, tick: recovery / 1200,
 		kept: kept.New(), notices: make(chan kept.Notice, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
 	}
 }
@@ -77,7 +87,7 @@
 func (t *engines) take(p serve.Picture, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.picture = p
+	t.picture, t.latest = p, nil
 	listed := map[string]bool{}
 	for _, e := range p.Engines.Engines {
 		listed[e.Name] = true
@@ -110,7 +120,7 @@
 func (t *engines) takeAway(gone map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gone = gone
+	t.gone, t.latest = gone, nil
 }
 
 func (t *engines) place(nodes, rank int, partial bool) {
@@ -119,8 +129,24 @@
 	t.nodes, t.rank, t.partial = nodes, rank, partial
 }
 
-// list is the pairing's picture of the servers. Called under t.mu.
+// list is the pairing's picture of the servers for a prompt; it is only read, since
+// others may hold it. Called under t.mu.
 func (t *engines) list(parts []engine.Part, now time.Duration) []pairing.Server {
+	if t.latest == nil || now < t.latest.at || now-t.latest.at >= t.tick {
+		t.latest = &snapshot{servers: t.observe(now), at: now}
+	}
+	if len(parts) == 0 {
+		return t.latest.servers
+	}
+	out := slices.Clone(t.latest.servers)
+	for i := range out {
+		out[i].Kept = t.kept.Tokens(out[i].Name, out[i].Life, parts)
+	}
+	return out
+}
+
+// observe makes the pairing's picture of the servers. Called under t.mu.
+func (t *engines) observe(now time.Duration) []pairing.Server {
 	out := make([]pairing.Server, 0, len(t.servers))
 	heard, unheard := map[string]loads{}, []int(nil)
 	for _, e := range t.picture.Engines.Engines {
@@ -140,9 +166,6 @@
 		if s.began > 0 {
 			one.Quiet = now - s.began
 		}
-		if len(parts) > 0 {
-			one.Kept = t.kept.Tokens(e.Name, e.Life, parts)
-		}
 		one.Backlog = t.kept.Backlog(e.Name, e.Life, now)
 		if t.toldOf(e) {
 			one.Load.Role = e.Role
@@ -244,6 +267,7 @@
 }
 
 func (t *engines) begin(name string, now time.Duration) {
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.inflight++
 		s.since++
@@ -255,6 +279,7 @@
 func (t *engines) Kept(pool, name string, parts []engine.Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	s := t.servers[name]
 	if s == nil || t.picture.Desk == nil || len(parts) == 0 {
 		return
@@ -273,6 +298,7 @@
 func (t *engines) End(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.inflight = max(s.inflight-1, 0)
 		s.since-- // below nought: a go that the last report counted has ended
@@ -418,6 +444,7 @@
 func (t *engines) Heard(name string, load engine.Load, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	s := t.servers[name]
 	if s == nil {
 		return
@@ -438,6 +465,7 @@
 func (t *engines) polled(name string, load engine.Load, ok bool, now time.Duration) (turned bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	s := t.servers[name]
 	if s == nil {
 		return false
@@ -469,6 +497,7 @@
 func (t *engines) Full(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.load.Running = max(s.load.Running, s.load.Slots)
 	}
@@ -478,6 +507,7 @@
 func (t *engines) Outdated(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.at = 0
 	}
@@ -487,6 +517,7 @@
 func (t *engines) RestFor(name string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		// Twice as long each time in a row, up to the span of a slow start.
 		s.resting = now + min(t.rest<<min(s.failed, 10), t.ramp)
@@ -498,6 +529,7 @@
 func (t *engines) Well(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.failed, s.resting = 0, 0
 	}
--- a/node/engines_test.go
+++ b/node/engines_test.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/kept"
+	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 )
@@ -68,4 +72,55 @@
 		So(differ(listed, cooler), ShouldBeTrue)
 		So(differ(listed, listed[1:]), ShouldBeTrue)
 	})
+	Convey("a snapshot of the engines lasts a tick, or until anything that it rests on changes", t, func() {
+		e := table(true)
+		same := func(a, b []pairing.Server) bool { return &a[0] == &b[0] }
+		So(same(e.list(nil, now), e.list(nil, now+e.tick-1)), ShouldBeTrue)
+		So(same(e.list(nil, now), e.list(nil, now+e.tick)), ShouldBeFalse)
+		So(same(e.list(nil, now+e.tick), e.list(nil, now)), ShouldBeFalse)
+		parts := []engine.Part{{ID: "x", Tokens: 100}}
+		for what, change := range map[string]func(){
+			"a reservation":       func() { e.begin("b", now) },
+			"its end":             func() { e.End("b") },
+			"a report":            func() { e.polled("b", engine.Load{Slots: 4}, true, now) },
+			"a word by a reply":   func() { e.Heard("b", engine.Load{Slots: 4}, now) },
+			"a busy engine":       func() { e.Full("b") },
+			"a dropped report":    func() { e.Outdated("b") },
+			"a failed go":         func() { e.RestFor("b", now) },
+			"a finished go":       func() { e.Well("b") },
+			"a read":              func() { e.believe(kept.Notice{Server: "a", Takes: time.Second}, "p", now) },
+			"a leaving engine":    func() { e.takeAway(map[string]bool{"b": true}) },
+			"a picture":           func() { e.take(e.picture, now) },
+			"a chain kept (desk)": func() { e.Kept("p", "b", parts) },
+		} {
+			before := e.list(nil, now)
+			held := slices.Clone(before)
+			change()
+			SoMsg(what+" makes a new one", same(e.list(nil, now), before), ShouldBeFalse)
+			SoMsg(what+" leaves the old one", before, ShouldResemble, held)
+		}
+	})
+	Convey("what an engine keeps of a prompt is no part of the snapshot", t, func() {
+		e := table(true)
+		parts := []engine.Part{{ID: "x", Tokens: 100}}
+		e.kept.Note("a", "", parts, 1000)
+		So(e.list(parts, now)[0].Kept, ShouldEqual, 100)
+		So(e.list(nil, now)[0].Kept, ShouldEqual, 0)
+		So(e.list([]engine.Part{{ID: "y", Tokens: 100}}, now)[0].Kept, ShouldEqual, 0)
+	})
+}
+
+// BenchmarkIdle asks of a hundred engines as each waiter does at each turn of the gate.
+func BenchmarkIdle(b *testing.B) {
+	e := newEngines("s", 12*time.Second, true)
+	list, table := engine.List{Serial: 1}, map[string]string{}
+	for i := range 100 {
+		name := fmt.Sprint("e", i)
+		list.Engines = append(list.Engines, engine.Listed{Name: name, Addr: name, Pool: "p", Site: "s", State: "live", Role: engine.Decode, Slots: 4})
+		table[name] = engine.Decode
+	}
+	e.take(serve.Picture{Engines: list, Roles: map[string]serve.RolesInForce{"p": {Table: engine.RoleTable{Roles: table}}}}, time.Second)
+	for b.Loop() {
+		e.Idle("p", time.Minute)
+	}
 }
--- a/node/reads.go
+++ b/node/reads.go
@@ -62,6 +62,7 @@
 
 // believe takes a notice in. Called under t.mu.
 func (t *engines) believe(n kept.Notice, pool string, now time.Duration) {
+	t.latest = nil
 	t.kept.Take(n, t.memory(pool), now, func(server string) bool { return t.servers[server] != nil })
 }
 
