A look that could not be recorded is news at the next one too

A looker kept how cold it had seen engines before the register held it. Where the write was lost or another node's came between, the next look found nothing colder and did not record it.

The memory of the looks is dropped when a write is not done. TestColdJoined fails without it.

--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -200,7 +200,9 @@
 		}
 		if next, changed := l.memo.next(l.base, l.seen, l.view); changed {
 			value, _ := json.Marshal(next)
-			m.Do(context.Background(), register.Request{Key: core.KeyEngines, Base: l.base.Serial, Value: value})
+			if r := m.Do(context.Background(), register.Request{Key: core.KeyEngines, Base: l.base.Serial, Value: value}); r.Outcome != register.Done {
+				l.memo.cold = nil
+			}
 		}
 	}
 	m.looks = left
@@ -426,6 +428,20 @@
 
 func (f fixed) Now() time.Duration { return time.Duration(f) }
 
+// joinedNode is a node that reaches nobody, at a moment that stands; end lets go of it.
+func joinedNode(t *testing.T) (n *Node, end func()) {
+	s := settings.Default()
+	s.Fleet, s.Listen, s.HTTP, s.Site, s.Seeds = "f", "10.0.0.1:1", "10.0.0.1:2", "s", []string{"10.0.0.1:1"}
+	threads := crew.New(t.Context())
+	n = &Node{settings: s, clock: fixed(time.Minute), rand: randv2.New(randv2.NewPCG(1, 2)), bus: bus.New(threads),
+		log: event.New(&log.Logger{Handler: discard.New()}), engines: newEngines("s", s.Bounds.Recovery.D(), true), settling: warmth.Settling{Lag: modelLag}}
+	n.core = core.New(s, nil, alone{ports{n}})
+	return n, func() {
+		n.bus.Close()
+		threads.Wait()
+	}
+}
+
 // TestColdJoined holds how a node joins the rule to its register and its list.
 func TestColdJoined(t *testing.T) {
 	Convey("a list's lag is what it tells, or else half of the bound for engines that leave", t, func() {
@@ -433,30 +449,37 @@
 		So(listLag(&lagging{}, bounds), ShouldEqual, modelLag)
 		So(listLag(&lists{}, bounds), ShouldEqual, bounds.EngineLeave.D()/2)
 	})
+	Convey("that an engine is cold is news until it was recorded", t, func() {
+		n, end := joinedNode(t)
+		defer end()
+		had := &listing{}
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		cold := []engine.Listed{{Name: "e", Addr: "1", Pool: "p", Site: "z", State: "live", Role: engine.Decode, Slots: 64, ColdMS: 2500}}
+		value, _ := json.Marshal(engine.List{Serial: 1, Engines: cold})
+		held := register.Cell{Serial: 1, Value: value}
+		_, ok := n.record(ended, held, cold, sitesView{}, had)
+		So(ok, ShouldBeFalse)
+		_, changed := had.next(held, cold, sitesView{})
+		So(changed, ShouldBeTrue)
+	})
 	Convey("once a site's return is in force its engines are cold here, and a look covers it after the lag", t, func() {
-		s := settings.Default()
-		s.Fleet, s.Listen, s.HTTP, s.Site, s.Seeds = "f", "10.0.0.1:1", "10.0.0.1:2", "s", []string{"10.0.0.1:1"}
-		threads := crew.New(t.Context())
-		defer threads.Wait()
-		clock := fixed(time.Minute)
-		n := &Node{settings: s, clock: clock, rand: randv2.New(randv2.NewPCG(1, 2)), bus: bus.New(threads),
-			log: event.New(&log.Logger{Handler: discard.New()}), engines: newEngines("s", s.Bounds.Recovery.D(), true), settling: warmth.Settling{Lag: modelLag}}
-		defer n.bus.Close()
-		n.core = core.New(s, nil, alone{ports{n}})
+		n, end := joinedNode(t)
+		defer end()
 		n.picture.Desk = modelDesk
 		listed := engine.List{Serial: 1, Engines: []engine.Listed{{Name: "e", Addr: "1", Pool: "p", Site: "z", State: "live", Role: engine.Decode, Slots: 64}}}
 		put := func(key string, serial uint64, value any) {
 			b, _ := json.Marshal(value)
 			n.adopt(key, register.Cell{Serial: serial, Value: b})
 		}
-		cold := func() bool { return n.engines.coldLeft(n.engines.servers["e"], clock.Now()) > 0 }
+		cold := func() bool { return n.engines.coldLeft(n.engines.servers["e"], n.clock.Now()) > 0 }
 		put(core.KeyEngines, 1, listed)
 		put(core.KeySites, 1, engine.SiteState{Empty: map[string]bool{"z": true}})
 		So(cold(), ShouldBeFalse)
 		put(core.KeySites, 2, engine.SiteState{Back: map[string]uint64{"z": 2}})
 		So(cold(), ShouldBeTrue)
-		So(n.settling.Covered(clock.Now()), ShouldBeLessThan, 2)
-		So(n.settling.Covered(clock.Now()+modelLag), ShouldEqual, 2)
+		So(n.settling.Covered(n.clock.Now()), ShouldBeLessThan, 2)
+		So(n.settling.Covered(n.clock.Now()+modelLag), ShouldEqual, 2)
 		listed.Covers = 2
 		put(core.KeyEngines, 2, listed)
 		So(cold(), ShouldBeFalse)
--- a/node/list.go
+++ b/node/list.go
@@ -132,7 +132,11 @@
 	}
 	r := n.Do(ctx, register.Request{Key: core.KeyEngines, Base: cell.Serial, Op: n.OpID(), Value: value, Patience: n.settings.Bounds.InForce.D() / 2})
 	n.Hurry()
-	return r.Cell.Serial, r.Outcome == register.Done
+	if r.Outcome != register.Done {
+		had.cold = nil // what was seen is news at the next look too
+		return 0, false
+	}
+	return r.Cell.Serial, true
 }
 
 // sitesView is what the looker knew of the sites when its look began.
