An order's fence is a term that names its holder; a new holder waits out the lease

Cause: the fence was the register's serial and the holder the cell's epoch. Whoever settles a cell rewrites it under its own epoch with the same serial, so two nodes gave orders under one fence, half a second apart; and lease_ms bounded nothing.

Change: the role table names its holder and a term, chosen by a majority with the table (package tenure). The term is the fence; it rises with the holder only. A new holder waits for a permit's length and the lease before its first order; an order is dropped when the permit ended, or a newer term shows, right before its first byte, and what the system has not sent when the call fails is discarded. While it waits, roles stand still.

--- a/engine/consumer.go
+++ b/engine/consumer.go
@@ -226,11 +226,17 @@
 	return out, c.call(ctx, http.MethodGet, "http://"+addr+"/linedrum/load", nil, &out)
 }
 
+// ErrLapsed is an order that was not sent, since it came too late for it.
+const ErrLapsed = errors.ConstError("it is too late for the order")
+
 // ErrStale is an engine that obeyed a newer order already.
 const ErrStale = errors.ConstError("the engine obeyed a newer order")
 
 // Order gives an engine its role.
 func (c *Consumer) Order(ctx context.Context, addr string, order Order) error {
+	if order.Lapsed() {
+		return ErrLapsed
+	}
 	return c.call(ctx, http.MethodPost, "http://"+addr+"/linedrum/role", order, nil)
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"linedrum.example/linedrum/strict"
+	"linedrum.example/linedrum/tenure"
 )
 
 // Roles.
@@ -76,7 +77,8 @@
 	return l, nil
 }
 
-// Fence orders role orders: a higher epoch wins, then a higher serial.
+// Fence orders role orders: a higher count wins, then a higher serial. A count belongs to
+// one holder (package tenure).
 type Fence struct {
 	Count  uint64 `json:"count"`
 	Holder string `json:"holder"`
@@ -100,8 +102,14 @@
 	Pool  string `json:"pool"`
 	Role  string `json:"role"`
 	Fence Fence  `json:"fence"`
+	// May is asked right before the first byte is written, and the order is dropped where
+	// it says no: since it was made, the sender may have been frozen. nil: it may.
+	May func() bool `json:"-"`
 }
 
+// Lapsed tells that the order must not be sent any more.
+func (o Order) Lapsed() bool { return o.May != nil && !o.May() }
+
 // Load is what an engine reports of itself.
 type Load struct {
 	Role    string `json:"role"`
@@ -119,6 +127,8 @@
 // RoleTable is the register's value for one pool: who reads and who writes.
 type RoleTable struct {
 	Roles map[string]string `json:"roles"`
+	// Record says whose orders the table stands for.
+	tenure.Record
 }
 
 // SiteState is the register's value for the emptied sites.
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -103,6 +103,9 @@
 // Until is when the permit runs out.
 func (k *Keeper) Until() time.Duration { return k.until }
 
+// Longest is how long a permit lasts at most, counted from when it was asked for.
+func (k *Keeper) Longest() time.Duration { return k.timing.Permit }
+
 // Cell is what this node holds of a key.
 func (k *Keeper) Cell(key string) register.Cell { return k.cells[key] }
 
--- a/node/control.go
+++ b/node/control.go
@@ -91,7 +91,7 @@
 		for name, r := range n.picture.Roles {
 			roles[name] = r
 		}
-		roles[pool] = serve.RolesInForce{Table: table, Fence: fenceOf(cell)}
+		roles[pool] = serve.RolesInForce{Table: table, Fence: fenceOf(table, cell.Serial)}
 		n.picture.Roles = roles
 		fields["pool"] = pool
 	}
@@ -103,8 +103,10 @@
 	n.bus.Publish(bus.TopicInForce, map[string]any{"key": key, "serial": cell.Serial})
 }
 
-func fenceOf(cell register.Cell) engine.Fence {
-	return engine.Fence{Count: cell.Epoch.Count, Holder: cell.Epoch.Holder, Serial: cell.Serial}
+// fenceOf is the fence of a table's orders. The cell's epoch has no part in it: whoever
+// settles a cell gives it an epoch of its own, and has not become the holder by that.
+func fenceOf(table engine.RoleTable, serial uint64) engine.Fence {
+	return engine.Fence{Count: table.Term, Holder: table.Holder, Serial: serial}
 }
 
 // wantKeys makes the permit cover the role tables of all pools in force.
--- a/node/engines.go
+++ b/node/engines.go
@@ -344,8 +344,9 @@
 	return s.at > 0 && !(s.load.Role == role && (!s.load.Fence.Less(fence) || s.ordered == fence))
 }
 
-// order sends roles to the engines that do not report them under this fence.
-func (t *engines) order(n *Node, pool string, table map[string]string, fence engine.Fence) {
+// order sends roles to the engines that do not report them under this fence. An order is
+// dropped that could not be written in time, or when may says no.
+func (t *engines) order(n *Node, pool string, table map[string]string, fence engine.Fence, may func() bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, role := range table {
@@ -356,16 +357,16 @@
 		t.ordering[name] = true
 		listed := s.listed
 		n.crew.Start(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.InForce.D()/2)
+			ctx, cancel := context.WithTimeout(ctx, n.orderTime())
 			defer cancel()
-			err := n.speech.Order(ctx, listed, engine.Order{Pool: pool, Role: role, Fence: fence})
+			err := n.speech.Order(ctx, listed, engine.Order{Pool: pool, Role: role, Fence: fence, May: may})
 			t.mu.Lock()
 			delete(t.ordering, name)
 			if err == nil {
 				s.ordered, s.obeyed = fence, n.clock.Now()
 			}
 			t.mu.Unlock()
-			fields := event.Fields{"engine": name, "role": role, "epoch": fence.Count, "serial": fence.Serial}
+			fields := event.Fields{"engine": name, "role": role, "term": fence.Count, "serial": fence.Serial}
 			if err != nil {
 				fields["reason"] = err.Error()
 				n.log.Say(event.RoleBounced, fields)
--- a/node/node.go
+++ b/node/node.go
@@ -24,7 +24,6 @@
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/register"
-	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/speech"
@@ -55,9 +54,8 @@
 	picture    serve.Picture
 	tableNews  tableNews
 	desks      desks
-	planner    map[string]*roles.Planner // of the duties' own goroutine
-	rivals     map[string]*core.Rivalry  // of the duties' own goroutine
-	window     struct {                  // of the duties' own goroutine: the newest window seen, and since when
+	posts      map[string]*post // of the duties' own goroutine
+	window     struct {         // of the duties' own goroutine: the newest window seen, and since when
 		serial uint64
 		since  time.Duration
 	}
@@ -106,7 +104,7 @@
 // Start brings a node up on a host; Stop takes it down.
 func Start(s settings.Settings, log *event.Log, host Host, outside Outside) (_ *Node, err error) {
 	n := &Node{
-		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, planner: map[string]*roles.Planner{}, rivals: map[string]*core.Rivalry{},
+		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, posts: map[string]*post{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
 		speech: outside.Speech, lister: outside.Lister,
 	}
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -275,3 +275,23 @@
 	table[chosen.Name] = to
 	return true
 }
+
+// Steady is a plan less what it needs orders for, while none may be given: engines keep
+// their roles, and new ones go on with what they play.
+func Steady(old, next map[string]string, states []State) map[string]string {
+	plays := map[string]string{}
+	for _, s := range states {
+		plays[s.Name] = s.Plays
+	}
+	out := make(map[string]string, len(next))
+	for name, role := range next {
+		switch {
+		case old[name] != "":
+			role = old[name]
+		case plays[name] != "":
+			role = plays[name]
+		}
+		out[name] = role
+	}
+	return out
+}
