Evacuations are fenced by what their node knew when they came

Cause: an evacuation carried nothing that says on what it builds. One that lay in the socket or handler of a frozen or cut-off node was carried out after its thaw, when it had been repeated elsewhere and taken back.

Change: the record of emptied sites holds the serial of the last order for each site. An order turns a site over only where that is what its node held when the order came, within half of an operation's patience of boot time, for a caller that has not left; a node that did not run for a quarter of the in-force bound, or has only just gone on, refuses it with 503, to be sent again. An order that turns nothing over is written all the same.

--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,13 @@
 	OpID() string
 	// Hurry has the permit renewed at once: something was written.
 	Hurry()
+	// Seen is what this node holds of a key now, without asking anybody.
+	Seen(key string) register.Cell
+	// Now is boot time.
+	Now() time.Duration
+	// Awake tells that this node has run without a break for a moment; else what is
+	// read now may have lain in a socket, for nobody knows how long.
+	Awake() bool
 }
 
 // Control is one node's way to the control state; safe for concurrent use.
@@ -134,12 +141,27 @@
 	return Outcome{Outcome: register.Conflict}, nil
 }
 
-// EmptySite empties a site, or brings it back, and gives the emptied ones by name.
+// EmptySite empties a site, or brings it back, and gives the emptied ones by name. It is
+// to be called as soon as the order was read: one that was held up, here or on its way,
+// must not be carried out when the operator has gone on. So it turns a site over only
+// where no order for that site was taken since what this node knew when it came (section
+// 4.7); else it is to be sent again. An order that turns nothing over is written all the
+// same: earlier ones, held up or held by a minority of the disks, are dead from then on.
 func (c *Control) EmptySite(ctx context.Context, site string, empty bool) (Outcome, []string, *verdict.Error) {
+	if !c.registers.Awake() {
+		return Outcome{Outcome: register.NotDone}, nil, heldUp()
+	}
+	began, seen := c.registers.Now(), siteState(c.registers.Seen(core.KeySites))
 	var now []string
+	late := false
 	out, fault := c.Change(ctx, core.KeySites, func(cell register.Cell) []byte {
-		next := engine.SiteState{Empty: map[string]bool{}}
-		_ = json.Unmarshal(cell.Value, &next)
+		next := siteState(cell)
+		late = ctx.Err() != nil || c.registers.Now()-began > c.patience/2
+		turns := next.Empty[site] != empty
+		if late = late || turns && next.Ordered[site] != seen.Ordered[site]; late {
+			return nil
+		}
+		next.Ordered[site] = cell.Serial + 1
 		if empty {
 			next.Empty[site] = true
 		} else {
@@ -152,9 +174,30 @@
 		now = Names(next.Empty)
 		return value
 	})
+	if late && fault == nil {
+		return Outcome{Outcome: register.NotDone}, nil, heldUp()
+	}
 	return out, now, fault
 }
 
+// heldUp refuses an order that may be an old one.
+func heldUp() *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: "held-up",
+		Reason: "the order may have been held up; send it again", RetryAfter: time.Second}
+}
+
+func siteState(cell register.Cell) engine.SiteState {
+	state := engine.SiteState{}
+	_ = json.Unmarshal(cell.Value, &state)
+	if state.Empty == nil {
+		state.Empty = map[string]bool{}
+	}
+	if state.Ordered == nil {
+		state.Ordered = map[string]uint64{}
+	}
+	return state
+}
+
 // Names lists a set in order.
 func Names(set map[string]bool) []string {
 	out := []string{}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -134,4 +134,6 @@
 // SiteState is the register's value for the emptied sites.
 type SiteState struct {
 	Empty map[string]bool `json:"empty"`
+	// Ordered is the serial under which an order for a site was taken last.
+	Ordered map[string]uint64 `json:"ordered,omitempty"`
 }
--- a/node/control.go
+++ b/node/control.go
@@ -146,6 +146,20 @@
 	}
 }
 
+// Seen is what this node holds of a key now.
+func (n *Node) Seen(key string) register.Cell {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Keeper.Cell(key)
+}
+
+// Awake tells that this process has run without a break for a moment.
+func (n *Node) Awake() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.awake.calmAt(n.clock.Now())
+}
+
 // Look reads one key from a majority without writing anything.
 func (n *Node) Look(ctx context.Context, key string, patience time.Duration) (register.Cell, bool) {
 	type found struct {
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,7 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	core   *core.Core
+	awake  awake
 	disk   *wal.Log
 	folder Folder
 	// firstDisks is who was to found the fleet when this machine's disk was born.
@@ -108,6 +109,7 @@
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
 		speech: outside.Speech, lister: outside.Lister,
 	}
+	n.awake = awake{gap: s.Bounds.InForce.D() / 4, calm: s.Bounds.InForce.D() / 4}
 	n.Control = control.New(n, 2*s.Bounds.InForce.D())
 	defer func() {
 		if err != nil {
@@ -249,6 +251,7 @@
 	crew.Every(ctx, n.core.TickEvery(), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		n.awake.tick(n.clock.Now())
 		n.core.Tick()
 		if n.clock.Now() >= n.tableNews.first+n.settings.Bounds.Recovery.D()/60 {
 			n.tableNews.say(n.log.Say)
