Changes taken are remembered for their time, not only the last 64

Cause: the desk file's register remembered the last 64 applies. A repeat of an older one was refused, though it had been taken: eight orders under way can take more in the time in which an operator repeats.

Change: an apply is let go when it is older than twice the recovery bound by the writing node's own boot time since it first saw it, and not among the last 64; 4,096 at most.

Result: a repeat is known after 128 changes, at both nodes; what 192 changes leave (eight a second for 24 s) is below 4 KiB in the register. The desk's test that only the last 64 are remembered is replaced: that was the fault; the bounds by time and number are tested in its place.

--- a/control/control.go
+++ b/control/control.go
@@ -38,11 +38,18 @@
 type Control struct {
 	registers Registers
 	patience  time.Duration
+	applies   *desk.Memory
 }
 
 // New makes one; an operation that is not decided within the patience is not done, or
 // its outcome is unknown.
-func New(r Registers, patience time.Duration) *Control { return &Control{r, patience} }
+// An apply is remembered for keep at least.
+func New(r Registers, patience, keep time.Duration) *Control {
+	return &Control{registers: r, patience: patience, applies: desk.NewMemory(keep)}
+}
+
+// Applied takes note of the applies that a desk file in force remembers.
+func (c *Control) Applied(applies []desk.Applied) { c.applies.Note(applies, c.registers.Now()) }
 
 // Read reads one key through its holder: linearizable. The fault is not-run.
 func (c *Control) Read(ctx context.Context, key string) (register.Cell, *verdict.Error) {
@@ -103,6 +110,8 @@
 	}
 	next := stored.Next(e.File, e.ID, e.Base+1)
 	next.Edition, next.Source = e.Edition, e.Source
+	c.Applied(stored.Applied)
+	next.Applied = c.applies.Prune(next.Applied, c.registers.Now())
 	value, err := next.Encode()
 	if err != nil {
 		return Outcome{Outcome: register.NotDone}, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusInternalServerError, Code: "unreadable",
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/core"
+	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/register"
 )
 
@@ -69,7 +70,7 @@
 
 // order sends an evacuation, or takes it back, and tells whether it was acknowledged.
 func (n *node) order(empty bool) bool {
-	out, _, fault := New(n, 4*time.Second).EmptySite(context.Background(), "z", empty)
+	out, _, fault := New(n, 4*time.Second, 24*time.Second).EmptySite(context.Background(), "z", empty)
 	if fault != nil {
 		So(fault.Status, ShouldEqual, http.StatusServiceUnavailable)
 		return false
@@ -79,6 +80,27 @@
 
 func (f *fleet) empty() bool { return siteState(f.cells[core.KeySites]).Empty["z"] }
 
+func TestRepeats(t *testing.T) {
+	Convey("A repeat is known again, at any node, after more changes than are always remembered", t, func() {
+		f := newFleet()
+		nodes := []*Control{New(f.node(), 4*time.Second, 24*time.Second), New(f.node(), 4*time.Second, 24*time.Second)}
+		edit := func(i int, base uint64) Edit {
+			return Edit{File: []byte("{}"), Base: base, ID: fmt.Sprint("change-", i)}
+		}
+		for i := range 2 * desk.KeepApplied {
+			done, fault := nodes[i%2].ApplyDesk(context.Background(), edit(i, uint64(i)))
+			So(fault, ShouldBeNil)
+			So(done.Outcome, ShouldEqual, register.Done)
+			f.now += 100 * time.Millisecond
+		}
+		for _, c := range nodes {
+			done, fault := c.ApplyDesk(context.Background(), edit(0, 0))
+			So(fault, ShouldBeNil)
+			So(done, ShouldResemble, Outcome{Outcome: register.Done, Serial: 1, Repeated: true})
+		}
+	})
+}
+
 func TestLateOrders(t *testing.T) {
 	Convey("An order that was held up is not carried out when the operator has gone on", t, func() {
 		f := newFleet()
@@ -123,7 +145,7 @@
 		a, b := f.node(), f.node()
 		So(a.order(true), ShouldBeTrue)
 		So(b.order(true), ShouldBeTrue)
-		_, _, fault := New(b, 4*time.Second).EmptySite(context.Background(), "y", true)
+		_, _, fault := New(b, 4*time.Second, 24*time.Second).EmptySite(context.Background(), "y", true)
 		So(fault, ShouldBeNil)
 		So(f.empty(), ShouldBeTrue)
 		So(siteState(f.cells[core.KeySites]).Empty["y"], ShouldBeTrue)
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -200,8 +200,12 @@
 	Serial uint64 `json:"serial"`
 }
 
-// KeepApplied is how many applies a register remembers.
-const KeepApplied = 64
+// A register remembers so many applies at least, and at most; between them, those that
+// are not old (Memory).
+const (
+	KeepApplied = 64
+	MostApplied = 4096
+)
 
 // Next is the value that takes a file on top of what is stored. The file came as
 // itself, so that no source stands for it; the edition never falls.
@@ -213,9 +217,6 @@
 // that is kept for reading back; nil: the file itself.
 func (s Stored) NextEdition(file json.RawMessage, id string, serial, edition uint64, source json.RawMessage) Stored {
 	applied := append(append([]Applied(nil), s.Applied...), Applied{id, serial})
-	if len(applied) > KeepApplied {
-		applied = applied[len(applied)-KeepApplied:]
-	}
 	return Stored{File: file, Edition: edition, Source: source, Applied: applied}
 }
 
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -66,17 +68,55 @@
 		_, _, err = f.Find("d", "z")
 		So(err, ShouldNotBeNil)
 	})
-	Convey("an apply is remembered by its id, the last ones only", t, func() {
-		s := Stored{}
-		for i := range KeepApplied + 3 {
-			s = s.Next([]byte("{}"), string(rune('a'+i%26))+strings.Repeat("x", i/26), uint64(i+1))
+	Convey("an apply is remembered by its id, for its time and among the last ones", t, func() {
+		s, m, now := Stored{}, NewMemory(24*time.Second), time.Hour
+		apply := func(i int, keeper *Memory) {
+			keeper.Note(s.Applied, now)
+			s = s.Next([]byte("{}"), id(i), uint64(i+1))
+			s.Applied = keeper.Prune(s.Applied, now)
 		}
-		So(s.Applied, ShouldHaveLength, KeepApplied)
-		_, had := s.Find("a")
-		So(had, ShouldBeFalse)
+		for i := range 3 * KeepApplied {
+			apply(i, m)
+		}
+		So(s.Applied, ShouldHaveLength, 3*KeepApplied)
+		serial, had := s.Find(id(0))
+		So(had, ShouldBeTrue)
+		So(serial, ShouldEqual, 1)
+		now += 23 * time.Second
+		apply(3*KeepApplied, m)
+		So(s.Applied, ShouldHaveLength, 3*KeepApplied+1)
+		Convey("a node that has only just come lets nothing go", func() {
+			now += time.Minute
+			apply(3*KeepApplied+1, NewMemory(24*time.Second))
+			So(s.Applied, ShouldHaveLength, 3*KeepApplied+2)
+		})
+		Convey("an older one is not", func() {
+			now += time.Second
+			apply(3*KeepApplied+1, m)
+			// The last but one of the burst was noted after its apply, at the next.
+			So(len(s.Applied), ShouldEqual, KeepApplied)
+			_, had := s.Find(id(0))
+			So(had, ShouldBeFalse)
+		})
+		Convey("not more than a value may bear", func() {
+			many := make([]Applied, MostApplied+5)
+			So(NewMemory(24*time.Second).Prune(many, now), ShouldHaveLength, MostApplied)
+		})
+	})
+	Convey("the memory of a storm is short on the wire", t, func() {
+		s := Stored{File: []byte("{}")}
+		for i := range 192 { // eight a second for 24 s
+			s = s.Next([]byte("{}"), fmt.Sprintf("put-%d-%s", 3*i, Digest([]byte(id(i)))), uint64(i+1))
+		}
+		value, err := s.Encode()
+		So(err, ShouldBeNil)
+		t.Logf("%d bytes", len(value))
+		So(len(value), ShouldBeLessThan, 4<<10)
 	})
 }
 
+func id(i int) string { return fmt.Sprintf("put-%d-x", i) }
+
 const ruled = `{"pools":[{"name":"p"}],
  "rules":[{"when":"user.startsWith('vip') && prompt_chars > 10","desk":"d","kind":"b"},{"when":"model == 'any' && 100 / max_tokens > 5","desk":"e"}],
  "desks":[{"name":"d","pool":"p","kinds":[{"name":"a","expiry":"8s","queue":4,"when":"stream"},{"name":"b","expiry":"8s","queue":4,"when":"!stream"}]},
--- a/node/control.go
+++ b/node/control.go
@@ -66,6 +66,7 @@
 		if p.file == nil {
 			fields["unreadable"] = true
 		}
+		n.Applied(p.applied)
 		n.wantKeys()
 	case key == core.KeyEngines:
 		number = event.EnginesTaken
--- a/node/desks.go
+++ b/node/desks.go
@@ -18,10 +18,11 @@
 }
 
 type parsed struct {
-	value  []byte
-	file   *desk.File // nil: this program cannot read it
-	digest string
-	source []byte // the form that the file came in, where it is not the file
+	value   []byte
+	file    *desk.File // nil: this program cannot read it
+	digest  string
+	applied []desk.Applied
+	source  []byte // the form that the file came in, where it is not the file
 }
 
 // keptDesks is the one in force, and the next ones, each found by up to three disks.
@@ -36,6 +37,7 @@
 	p := parsed{value: value}
 	if stored, err := desk.DecodeStored(value); err == nil {
 		p.file, _ = desk.Parse(stored.File)
+		p.applied = stored.Applied
 		p.digest, p.source = desk.Digest(stored.File), stored.Source
 	}
 	d.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 		speech: outside.Speech, lister: outside.Lister,
 	}
 	n.awake = awake{gap: s.Bounds.InForce.D() / 4, calm: s.Bounds.InForce.D() / 4}
-	n.Control = control.New(n, 2*s.Bounds.InForce.D())
+	n.Control = control.New(n, 2*s.Bounds.InForce.D(), 2*s.Bounds.Recovery.D())
 	defer func() {
 		if err != nil {
 			n.cleanup.Run()
