--- a/control/control_test.go
+++ b/control/control_test.go
@@ -26,7 +26,13 @@
 
 func (r *registers) Now() time.Duration { return time.Hour + time.Since(r.began) + r.frozen }
 func (r *registers) OpID() string       { return "op" }
-func (r *registers) Hurry()             {}
+
+// Seen implements Registers: no order has been heard of.
+func (r *registers) Seen(string) register.Cell { return register.Cell{} }
+
+// Awake implements Registers: no scene freezes the node before its order is read.
+func (r *registers) Awake() bool { return true }
+func (r *registers) Hurry()      {}
 func (r *registers) Do(ctx context.Context, req register.Request) register.Result {
 	r.asked = append(r.asked, req)
 	return r.does(ctx, req)
@@ -39,7 +45,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("scene", t, func() {
 			r := &registers{began: time.Now(), does: does}
-			play(r, New(r, r, inForce))
+			play(r, New(r, r, inForce, 12*inForce))
 		})
 	})
 }
--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -106,8 +106,10 @@
 
 func (c modelClock) Now() time.Duration { return c.m.now }
 
-func (m *model) OpID() string { return "op" }
-func (m *model) Hurry()       {}
+func (m *model) OpID() string                  { return "op" }
+func (m *model) Seen(key string) register.Cell { return m.cells[key] }
+func (m *model) Awake() bool                   { return true }
+func (m *model) Hurry()                        {}
 func (m *model) Do(_ context.Context, req register.Request) register.Result {
 	cell := m.cells[req.Key]
 	if req.Read {
@@ -297,7 +299,7 @@
 	if m.r.Intn(2) == 0 {
 		m.herd, m.stall = 0, modelBack+1500*time.Millisecond+m.until(time.Second)
 	}
-	operator := control.New(m, modelClock{m}, time.Second)
+	operator := control.New(m, modelClock{m}, time.Second, time.Minute)
 	for range 6 + m.r.Intn(6) {
 		m.nodes = append(m.nodes, &modelNode{})
 	}
@@ -407,7 +409,7 @@
 	})
 	Convey("only who takes an emptied site back puts it in doubt; the same order once more does not", t, func() {
 		m := &model{cells: map[string]register.Cell{}}
-		operator := control.New(m, modelClock{m}, time.Second)
+		operator := control.New(m, modelClock{m}, time.Second, time.Minute)
 		state := func(empty bool) (s engine.SiteState) {
 			_, _, fault := operator.EmptySite(context.Background(), "z", empty)
 			So(fault, ShouldBeNil)
--- a/node/control.go
+++ b/node/control.go
@@ -75,6 +75,7 @@
 		if p.file == nil {
 			fields["unreadable"] = true
 		}
+		n.Applied(p.applied)
 		n.wantKeys()
 	case key == core.KeyEngines:
 		number = event.EnginesTaken
@@ -101,7 +102,7 @@
 		for name, r := range n.picture.Roles {
 			roles[name] = r
 		}
-		roles[pool] = serve.RolesInForce{Table: table, Fence: fenceOf(cell)}
+		roles[pool] = serve.RolesInForce{Table: table, Fence: fenceOf(table, cell.Serial)}
 		n.picture.Roles = roles
 		fields["pool"] = pool
 	}
@@ -113,8 +114,10 @@
 	n.bus.Publish(bus.TopicInForce, map[string]any{"key": key, "serial": cell.Serial})
 }
 
-func fenceOf(cell register.Cell) engine.Fence {
-	return engine.Fence{Count: cell.Epoch.Count, Holder: cell.Epoch.Holder, Serial: cell.Serial}
+// fenceOf is the fence of a table's orders. The cell's epoch has no part in it: whoever
+// settles a cell gives it an epoch of its own, and has not become the holder by that.
+func fenceOf(table engine.RoleTable, serial uint64) engine.Fence {
+	return engine.Fence{Count: table.Term, Holder: table.Holder, Serial: serial}
 }
 
 // wantKeys makes the permit cover the role tables of all pools in force.
@@ -154,6 +157,20 @@
 	}
 }
 
+// Seen is what this node holds of a key now.
+func (n *Node) Seen(key string) register.Cell {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Keeper.Cell(key)
+}
+
+// Awake tells that this process has run without a break for a moment.
+func (n *Node) Awake() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.awake.calmAt(n.clock.Now())
+}
+
 // Look reads one key from a majority without writing anything.
 func (n *Node) Look(ctx context.Context, key string, patience time.Duration) (register.Cell, bool) {
 	type found struct {
--- a/node/node.go
+++ b/node/node.go
@@ -24,7 +24,6 @@
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/register"
-	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/speech"
@@ -49,6 +48,7 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	core      *core.Core
+	awake     awake
 	disk      *wal.Log
 	folder    Folder
 	opened    *openedDisk // nil until the data folder is open
@@ -56,9 +56,8 @@
 	settling  warmth.Settling // of the sites' state, under mu
 	tableNews tableNews
 	desks     desks
-	planner   map[string]*roles.Planner // of the duties' own goroutine
-	rivals    map[string]*core.Rivalry  // of the duties' own goroutine
-	window    struct {                  // of the duties' own goroutine: the newest window seen, and since when
+	posts     map[string]*post // of the duties' own goroutine
+	window    struct {         // of the duties' own goroutine: the newest window seen, and since when
 		serial uint64
 		since  time.Duration
 	}
@@ -107,11 +106,12 @@
 // Start brings a node up on a host; Stop takes it down.
 func Start(s settings.Settings, log *event.Log, host Host, outside Outside) (_ *Node, err error) {
 	n := &Node{
-		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, planner: map[string]*roles.Planner{}, rivals: map[string]*core.Rivalry{},
+		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, posts: map[string]*post{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
 		speech: outside.Speech, lister: outside.Lister, settling: warmth.Settling{Lag: listLag(outside.Lister, s.Bounds)},
 	}
-	n.Control = control.New(n, n.clock, s.Bounds.InForce.D())
+	n.awake = awake{gap: s.Bounds.InForce.D() / 4, calm: s.Bounds.InForce.D() / 4}
+	n.Control = control.New(n, n.clock, s.Bounds.InForce.D(), 2*s.Bounds.Recovery.D())
 	defer func() {
 		if err != nil {
 			n.cleanup.Run()
@@ -264,6 +264,7 @@
 	crew.Every(ctx, n.core.TickEvery(), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		n.awake.tick(n.clock.Now())
 		n.core.Tick()
 		if n.clock.Now() >= n.tableNews.first+n.settings.Bounds.Recovery.D()/60 {
 			n.tableNews.say(n.log.Say)
