--- a/explore/explore.go
+++ b/explore/explore.go
@@ -87,11 +87,11 @@
 	return report
 }
 
-// judge notes the fault of a state, if it has one.
+// judge notes the fault of a state, if it has one, and uses the state up.
 func judge(report *Report, model Model, start func() Model, path []uint16) bool {
 	fault := model.Fault()
 	if fault == "" {
-		fault = model.Clone().Recover()
+		fault = model.Recover()
 	}
 	if fault == "" {
 		return false
--- a/sim/world.go
+++ b/sim/world.go
@@ -52,6 +52,10 @@
 	Codec bool
 	// Lying disks say that a record is synced before it is: the planted fault.
 	Lying bool
+	// OnFrame sees each message as it leaves, may change it, and says whether it goes on.
+	OnFrame func(from *Node, to string, m *register.Message) bool
+	// OnSay hears of each event of a node.
+	OnSay func(n *Node, number event.Number, fields event.Fields)
 
 	now       time.Duration
 	queue     timeline
@@ -324,6 +328,9 @@
 func (p ports) Frame(to string, m register.Message, c wire.Cohort) {
 	w := p.n.World
 	w.Frames++
+	if w.OnFrame != nil && !w.OnFrame(p.n, to, &m) {
+		return
+	}
 	if w.Codec {
 		b, err := wire.PackFrame("sim", m, c)
 		if err == nil {
@@ -349,6 +356,9 @@
 
 func (p ports) Say(number event.Number, fields event.Fields) {
 	p.n.Log = append(p.n.Log, fmt.Sprintf("%v %d %s %v", p.n.World.now, number, event.Catalogue[number], fields))
+	if p.n.World.OnSay != nil {
+		p.n.World.OnSay(p.n, number, fields)
+	}
 }
 
 func (p ports) TableChanged(calot.Entry, bool) { p.n.Changes++ }
