A voter that leaves in order hands its vote over first

Cause: a machine that was stopped for good left the ring at once, and only then its disk was replaced. With three voters, one more machine lost at that moment left no majority, though its successor had had the bound to catch up before the stop. Change: at a planned stop the table says that the node serves no disk; the node goes when its disk has no vote any more, when no other disk waits, or after catch_up or three quarters of the drain, whichever comes first. It drains meanwhile.

--- a/calot/member.go
+++ b/calot/member.go
@@ -131,6 +131,17 @@
 // Self is this member's own entry.
 func (m *Member) Self() Entry { return m.self }
 
+// SetDisk says that this member serves a disk from now on, or none, and tells the others.
+func (m *Member) SetDisk(identity string) {
+	if m.self.Disk == identity {
+		return
+	}
+	m.self.Disk = identity
+	if m.joined && !m.leaving {
+		m.refute(m.self.Incarnation)
+	}
+}
+
 // Joined tells whether this member has a place on a ring.
 func (m *Member) Joined() bool { return m.joined }
 
--- a/core/core.go
+++ b/core/core.go
@@ -69,6 +69,7 @@
 	mend     mender
 	change   changer
 	had      bool // a permit was held at the last tick
+	retiring bool // the node leaves in order, and its disk votes only until it is replaced
 	fleet    struct {
 		most int           // members alive at one time, in this life
 		grew time.Duration // when that rose last
--- a/node/node.go
+++ b/node/node.go
@@ -215,16 +215,23 @@
 func (n *Node) Kill() { n.cleanup.Run() }
 
 // Stop takes the node down as planned (section 6): callers are served to the
-// last request that was read whole, then the node hands its duties over and
-// leaves the ring.
+// last request that was read whole, and its disk's vote goes to another disk that
+// waits; then the node hands its duties over and leaves the ring.
 func (n *Node) Stop() {
 	n.log.Say(event.Stopping, nil)
 	n.stopping.Store(true)
+	n.mu.Lock()
+	n.core.Retire()
+	n.mu.Unlock()
+	bounds := n.settings.Bounds
+	retiring, cancel := context.WithTimeout(context.Background(), min(bounds.CatchUp.D(), bounds.Drain.D()*3/4))
+	defer cancel()
 	draining := crew.New(context.Background())
 	for _, f := range n.faces {
 		draining.Start(func(context.Context) { f.Drain() })
 	}
 	draining.Wait()
+	n.awaitRetired(retiring)
 	n.mu.Lock()
 	n.core.Leave()
 	n.mu.Unlock()
@@ -234,6 +241,19 @@
 	n.log.Say(event.Stopped, nil)
 }
 
+// awaitRetired waits until this node's disk has no vote, or nobody can take it.
+func (n *Node) awaitRetired(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	crew.Every(ctx, n.settings.Bounds.InForce.D()/100, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.core.Retired() {
+			cancel()
+		}
+	})
+}
+
 func (n *Node) awaitLeft() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Bounds.Recovery.D()/12)
 	defer cancel()
--- a/sim/steps_test.go
+++ b/sim/steps_test.go
@@ -374,6 +374,70 @@
 	return sum
 }
 
+// leavingInOrder has a successor come, catch up, and then the voter end as planned.
+func leavingInOrder(w *World, lost *Node) *Node {
+	back := comes(w, lost)
+	w.Run(lost.Settings.Bounds.CatchUp.D())
+	lost.Stop()
+	return back
+}
+
+// TestLeaveInOrder has a voter leave in order, when its successor has had the time to
+// catch up, and another machine be lost the moment after: it is within what may be lost.
+func TestLeaveInOrder(t *testing.T) {
+	Convey("a voter that leaves in order holds no only copy, and leaves a majority, when it goes", t, func() {
+		first, last := seeds(2)
+		worst := time.Duration(0)
+		for seed := first; seed <= last; seed++ {
+			for _, s := range []scene{
+				{plan: plan{spec: small, disks: 3}, strike: strikes[0]},
+				{plan: plan{spec: small, disks: 3}, strike: strikes[3]},
+				{plan: plan{spec: large, disks: 5}, strike: strikes[3]},
+			} {
+				took, why := s.leave(seed)
+				worst = max(worst, took)
+				if why != "" {
+					t.Errorf("%d voters, seed %d, %s the moment after: %s", s.disks, seed, s.strike.name, why)
+				}
+			}
+		}
+		t.Logf("a stop took at most %v; the bound to catch up is %v", worst, 4*time.Second)
+	})
+}
+
+// leave is a scene that strikes a voter for good as soon as another one has left.
+func (s scene) leave(seed uint64) (took time.Duration, why string) {
+	w := calm(seed, s.spec, s.disks)
+	voters := w.voters()
+	lost, behind, next := voters[0], voters[1], voters[2]
+	asked := bare(w)
+	w.Deafen(behind, core.KeyDesk)
+	if r := write(w, asked, core.KeyDesk, 0, "acknowledged"); r.Outcome != register.Done {
+		return 0, fmt.Sprintf("the first write: %v", r.Outcome)
+	}
+	back := comes(w, lost)
+	bound := asked.Settings.Bounds.CatchUp.D()
+	w.Run(bound)
+	w.Hear()
+	began := w.Now()
+	lost.Stop()
+	if !w.Until(2*bound, func() bool { return lost.Core == nil }) {
+		return 0, "the stop does not end"
+	}
+	took = w.Now() - began
+	next.Crash(true)
+	if s.strike.wipes {
+		next.NewDisk()
+	}
+	if got := read(w, asked, core.KeyDesk); got.Outcome != register.Done || string(got.Cell.Value) != "acknowledged" {
+		return took, fmt.Sprintf("what was acknowledged: %v, %q; %d of %d voters there", got.Outcome, got.Cell.Value, len(w.voters()), len(w.Set().Disks))
+	}
+	if r := write(w, back, core.KeyDesk, 1, "next"); r.Outcome != register.Done {
+		return took, fmt.Sprintf("an order after it: %v", r.Outcome)
+	}
+	return took, ""
+}
+
 func TestStrikeAtEachStep(t *testing.T) {
 	Convey("a second loss at each step of a change is got over, and the next one after it is borne", t, func() {
 		for _, p := range plans {
--- a/sim/world.go
+++ b/sim/world.go
@@ -289,6 +289,32 @@
 	}
 }
 
+// Stop ends the process as planned, as package node does: its disk's vote and its duties
+// are handed over, it leaves the ring, and it ends; each is waited for within a bound.
+func (n *Node) Stop() {
+	n.enter(func() { n.Core.Retire() })
+	n.await(n.Settings.Bounds.CatchUp.D(), func() bool { return n.Core.Retired() }, func() {
+		n.enter(func() { n.Core.Leave() })
+		n.await(n.Settings.Bounds.Recovery.D()/12, func() bool { return n.Core.Member.Left() }, func() { n.Crash(false) })
+	})
+}
+
+// await does something in this life once a condition holds, or after a limit.
+func (n *Node) await(limit time.Duration, holds func() bool, then func()) {
+	life, end := n.life, n.World.now+limit
+	var look func()
+	look = func() {
+		switch {
+		case n.life != life || n.Core == nil:
+		case holds() || n.World.now >= end:
+			then()
+		default:
+			n.World.At(n.Settings.Bounds.InForce.D()/100, look)
+		}
+	}
+	look()
+}
+
 // Freeze stops the process between two steps; Thaw lets it go on, with time gone by.
 func (n *Node) Freeze() { n.frozen = true }
 
