--- a/explore/explore.go
+++ b/explore/explore.go
@@ -33,8 +33,8 @@
 type Report struct {
 	States      int
 	Transitions int
-	Depth       int  // the longest way that was followed
-	Complete    bool // every state within Bounds.Depth was visited
+	Depth       int  // every state within so many steps was visited
+	Complete    bool // that is as many as were asked for
 	Exhausted   bool // no state at all lies beyond
 	Fault       string
 	Path        []string // the steps that lead to the fault, a shortest way
@@ -70,6 +70,7 @@
 				}
 				if report.States >= bounds.States {
 					report.Complete = false
+					report.Depth--
 					return report
 				}
 				seen[sum] = true
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -519,26 +519,30 @@
 // --- steps ---
 
 type modelStep struct {
-	name func() string
-	take func()
+	name  func() string
+	take  func()
+	fault bool // it uses up one of the faults that may happen
 }
 
 func (m *model) steps() (out []modelStep) {
-	add := func(name func() string, take func()) { out = append(out, modelStep{name, take}) }
+	add := func(name func() string, take func()) { out = append(out, modelStep{name: name, take: take}) }
 	say := func(name string, take func()) { add(func() string { return name }, take) }
+	trouble := func(name func() string, take func()) {
+		out = append(out, modelStep{name: name, take: take, fault: true})
+	}
 	for i, p := range m.bag {
 		add(func() string { return "deliver " + describe(p) }, func() {
 			m.bag = slices.Delete(slices.Clone(m.bag), i, i+1)
 			m.deliver(p)
 		})
 		if m.left.Duplicate > 0 && p.m.Kind != KindReply {
-			add(func() string { return "duplicate " + describe(p) }, func() {
+			trouble(func() string { return "duplicate " + describe(p) }, func() {
 				m.left.Duplicate--
 				m.deliver(p)
 			})
 		}
 		if m.left.LoseReply > 0 && m.disk(p.to) != nil && !m.scene.late {
-			add(func() string { return "lose the reply of " + describe(p) }, func() {
+			trouble(func() string { return "lose the reply of " + describe(p) }, func() {
 				m.left.LoseReply--
 				m.bag = slices.Delete(slices.Clone(m.bag), i, i+1)
 				m.losing = true
@@ -553,13 +557,21 @@
 	for _, d := range m.disks {
 		m.diskSteps(d, say)
 	}
+	fault := func(name string, take func()) { trouble(func() string { return name }, take) }
+	for _, n := range m.nodes {
+		if m.left.Tick > 0 && waits(n.holder) {
+			fault("time-out at "+n.name, func() { m.left.Tick--; m.tick(n) })
+		}
+	}
+	for _, d := range m.disks {
+		if !d.lost {
+			m.diskFaults(d, fault)
+		}
+	}
 	return out
 }
 
 func (m *model) nodeSteps(n *modelNode, add func(string, func())) {
-	if m.left.Tick > 0 && waits(n.holder) {
-		add("time-out at "+n.name, func() { m.left.Tick--; m.tick(n) })
-	}
 	if n.changing && !n.busy {
 		if next, ok := m.wants(n); ok {
 			add(n.name+" records set "+strconv.FormatUint(next.Serial, 10), func() { m.record(n) })
@@ -606,6 +618,9 @@
 	if len(d.log.waiting) > 0 {
 		add("sync "+d.addr, func() { m.sync(d) })
 	}
+}
+
+func (m *model) diskFaults(d *modelDisk, add func(string, func())) {
 	may := func(left *int, name string, take func(*modelDisk)) {
 		if *left > 0 {
 			add(name+" "+d.addr, func() { *left--; take(d) })
@@ -753,6 +768,9 @@
 	return ""
 }
 
+// recoveryOp is the order that a fleet takes which is whole again.
+const recoveryOp = "next"
+
 // modelRounds is how many rounds a fleet that is whole again may take for everything.
 const modelRounds = 60
 
@@ -784,7 +802,7 @@
 		return why
 	}
 	var next Result
-	reader.holder.Do(Request{Key: modelKey, Base: found.Cell.Serial, Op: "next", Patience: modelPatience}, func(r Result) { next = r })
+	reader.holder.Do(Request{Key: modelKey, Base: found.Cell.Serial, Op: recoveryOp, Patience: modelPatience}, func(r Result) { next = r })
 	if !m.settle(func() bool { return next.Outcome == Done }) {
 		return "no order is taken"
 	}
