--- a/sim/world.go
+++ b/sim/world.go
@@ -48,15 +48,24 @@
 	// MinDelay and MaxDelay bound a message's way; Loss is the share of datagrams lost.
 	MinDelay, MaxDelay time.Duration
 	Loss               float64
+	// Rate is how many bytes a second each node's line carries, each way; 0: any number.
+	Rate float64
 	// Codec sends every message through its packed form, as the wire would.
 	Codec bool
 	// Lying disks say that a record is synced before it is: the planted fault.
 	Lying bool
+	// OnFrame sees each message as it leaves.
+	OnFrame func(from *Node, to string, m register.Message)
+	// OnSay hears of each event of a node.
+	OnSay func(n *Node, number event.Number, fields event.Fields)
+	// Tamper is a planted fault: it changes messages as they leave.
+	Tamper func(from *Node, to string, m *register.Message)
 
 	now       time.Duration
 	queue     timeline
 	seq       uint64
 	byAddr    map[string]*Node
+	deaf      func(to string, m register.Message) bool
 	cut       map[[2]string]bool // from, to
 	Datagrams uint64
 	Frames    uint64
@@ -120,6 +129,18 @@
 	}
 }
 
+// Deafen has nodes' disks miss every write of a key, and all that other disks tell them
+// to mend that, until Hear: messages may be lost.
+func (w *World) Deafen(key string, nodes ...*Node) {
+	w.deaf = func(to string, m register.Message) bool {
+		misses := m.Kind == register.KindAccept && m.Key == key || m.Kind == register.KindCells
+		return misses && slices.ContainsFunc(nodes, func(n *Node) bool { return n.Addr == to })
+	}
+}
+
+// Hear has all messages arrive again.
+func (w *World) Hear() { w.deaf = nil }
+
 func (w *World) carry(from *Node, to string, loss float64, deliver func(n *Node)) {
 	if w.cut[[2]string{from.Addr, to}] || loss > 0 && w.Rand.Float64() < loss {
 		return
@@ -154,6 +175,9 @@
 	frozen  bool
 	backlog []func()
 	lastFor map[string]time.Duration // frames keep their order on one connection
+	carried int64                    // bytes of frames on its line, both ways, while a rate is set
+	sending time.Duration            // until when its line sends what it was given
+	taking  time.Duration
 }
 
 // Spec of a fleet to add. Without named founders the seeds found it, at its first
@@ -271,6 +295,32 @@
 	}
 }
 
+// Stop ends the process as planned, as package node does: its disk's vote and its duties
+// are handed over, it leaves the ring, and it ends; each is waited for within a bound.
+func (n *Node) Stop() {
+	n.enter(func() { n.Core.Retire() })
+	n.await(n.Settings.Bounds.CatchUp.D(), func() bool { return n.Core.Retired() }, func() {
+		n.enter(func() { n.Core.Leave() })
+		n.await(n.Settings.Bounds.Recovery.D()/12, func() bool { return n.Core.Member.Left() }, func() { n.Crash(false) })
+	})
+}
+
+// await does something in this life once a condition holds, or after a limit.
+func (n *Node) await(limit time.Duration, holds func() bool, then func()) {
+	life, end := n.life, n.World.now+limit
+	var look func()
+	look = func() {
+		switch {
+		case n.life != life || n.Core == nil:
+		case holds() || n.World.now >= end:
+			then()
+		default:
+			n.World.At(n.Settings.Bounds.InForce.D()/100, look)
+		}
+	}
+	look()
+}
+
 // Freeze stops the process between two steps; Thaw lets it go on, with time gone by.
 func (n *Node) Freeze() { n.frozen = true }
 
@@ -324,6 +374,15 @@
 func (p ports) Frame(to string, m register.Message, c wire.Cohort) {
 	w := p.n.World
 	w.Frames++
+	if w.Tamper != nil {
+		w.Tamper(p.n, to, &m)
+	}
+	if w.OnFrame != nil {
+		w.OnFrame(p.n, to, m)
+	}
+	if w.deaf != nil && w.deaf(to, m) {
+		return
+	}
 	if w.Codec {
 		b, err := wire.PackFrame("sim", m, c)
 		if err == nil {
@@ -339,6 +398,9 @@
 	from := p.n
 	delay := w.MinDelay + time.Duration(w.Rand.Int64N(int64(w.MaxDelay-w.MinDelay)+1))
 	arrives := max(w.now+delay, from.lastFor[to])
+	if w.Rate > 0 {
+		arrives = max(w.lines(from, w.byAddr[to], frameSize(m, c), delay), from.lastFor[to])
+	}
 	from.lastFor[to] = arrives
 	w.At(arrives-w.now, func() {
 		if n := w.byAddr[to]; n != nil && !w.cut[[2]string{from.Addr, to}] {
@@ -347,8 +409,35 @@
 	})
 }
 
+// lines has two nodes' lines carry a number of bytes, after what they carry already.
+func (w *World) lines(from, to *Node, size int, delay time.Duration) (arrives time.Duration) {
+	span := time.Duration(float64(size) / w.Rate * float64(time.Second))
+	if to == from {
+		return w.now + delay
+	}
+	from.sending = max(from.sending, w.now) + span
+	from.carried += int64(size)
+	if to == nil {
+		return from.sending + delay
+	}
+	to.taking = max(to.taking, from.sending+delay-span) + span
+	to.carried += int64(size)
+	return to.taking
+}
+
+func frameSize(m register.Message, c wire.Cohort) int {
+	b, err := wire.PackFrame("sim", m, c)
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
 func (p ports) Say(number event.Number, fields event.Fields) {
 	p.n.Log = append(p.n.Log, fmt.Sprintf("%v %d %s %v", p.n.World.now, number, event.Catalogue[number], fields))
+	if p.n.World.OnSay != nil {
+		p.n.World.OnSay(p.n, number, fields)
+	}
 }
 
 func (p ports) TableChanged(calot.Entry, bool) { p.n.Changes++ }
