--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -54,7 +54,7 @@
 	plantedEarly   planted = "a look too early for the lag settles it"
 	plantedOver    planted = "an older look is written over a newer one"
 	plantedRestart planted = "a node that starts again takes a fresh share"
-	plantedSend    planted = "goes are held apart when nominated, not when sent"
+	plantedSend    planted = "goes are counted when nominated, not when sent"
 )
 
 // modelNode is one machine's process.
--- a/node/engines.go
+++ b/node/engines.go
@@ -53,10 +53,10 @@
 	resting  time.Duration
 	failed   int // goes that failed in a row
 	ordered  engine.Fence
-	obeyed   time.Duration // when it took that order
-	began    time.Duration // when this node last nominated it for a go; 0: never
-	sent     time.Duration // when this node last sent a go there; 0: never
-	cold     time.Duration // until when it is cold
+	obeyed   time.Duration   // when it took that order
+	began    time.Duration   // when this node last nominated it for a go; 0: never
+	sent     []time.Duration // when this node sent the goes of the last pairing.ColdWindow there
+	cold     time.Duration   // until when it is cold
 }
 
 // told tells whether the list says all of an engine that service needs.
@@ -145,7 +145,10 @@
 		one := pairing.Server{
 			Listed: e, Role: role, Load: s.load, Seen: s.at > 0 && now-s.at < t.stale,
 			Age: t.age(s, now), Inflight: s.inflight, Since: s.since,
-			Resting: now < s.resting, Cold: t.coldLeft(s, now), Quiet: now - max(t.started, s.began, s.sent),
+			Resting: now < s.resting, Cold: t.coldLeft(s, now), Quiet: now, Recent: t.recent(s, now),
+		}
+		if s.began > 0 {
+			one.Quiet = now - s.began
 		}
 		if len(parts) > 0 {
 			one.Kept = t.kept.Tokens(e.Name, e.Life, parts)
@@ -285,15 +288,33 @@
 		return true // whoever nominated it is told that it is gone
 	}
 	one := pairing.Server{
-		Listed: s.listed, Age: t.age(s, now), Cold: t.coldLeft(s, now), Quiet: now - max(t.started, s.sent),
+		Listed: s.listed, Age: t.age(s, now), Cold: t.coldLeft(s, now), Recent: t.recent(s, now),
 	}
-	if !t.warming(pool).Turn(one) {
+	v := t.warming(pool)
+	if !v.Turn(one) {
 		return false
 	}
-	s.sent = max(now, 1)
+	if v.WarmRate > 0 {
+		s.sent = append(s.sent, now)
+	}
 	return true
 }
 
+// anySent stands for goes that an earlier life of this process may have sent.
+const anySent = 1 << 20
+
+// recent is how many goes this machine may have sent to an engine of late. Called
+// under t.mu.
+func (t *engines) recent(s *server, now time.Duration) int {
+	if t.started > 0 && now-t.started < pairing.ColdWindow {
+		return anySent
+	}
+	for len(s.sent) > 0 && now-s.sent[0] >= pairing.ColdWindow {
+		s.sent = s.sent[1:]
+	}
+	return len(s.sent)
+}
+
 // warming is the part of a view that goes to cold engines rest on. Called under t.mu.
 func (t *engines) warming(pool string) pairing.View {
 	v := pairing.View{Pool: pool, Nodes: t.nodes, Rank: t.rank, Partial: t.partial}
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -24,9 +24,8 @@
 	// Backlog is how long it reads on what came before, as far as this node knows.
 	Backlog time.Duration `json:",omitempty"`
 	Cold    time.Duration `json:",omitempty"` // it stays cold for so long yet
-	// Quiet is since this node last began a go there, or since it started: its life
-	// before may have begun one until then.
-	Quiet time.Duration `json:",omitempty"`
+	Quiet   time.Duration `json:",omitempty"` // since this node last began a go there
+	Recent  int           `json:",omitempty"` // goes that this machine may have sent there within ColdWindow
 }
 
 // View is everything else that a nomination rests on.
