--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -106,7 +107,7 @@
 	Convey("the memory of a storm is short on the wire", t, func() {
 		s := Stored{File: []byte("{}")}
 		for i := range 192 { // eight a second for 24 s
-			s = s.Next([]byte("{}"), fmt.Sprintf("put-%d-%s", 3*i, Digest([]byte(id(i)))), uint64(i+1))
+			s = s.Next([]byte("{}"), fmt.Sprintf("put-%d-%s", 3*i, Digest([]byte(strconv.Itoa(i)))), uint64(i+1))
 		}
 		value, err := s.Encode()
 		So(err, ShouldBeNil)
