--- a/bench/platform/cutoff_test.go
+++ b/bench/platform/cutoff_test.go
@@ -110,7 +110,7 @@
 		defer cuts.Stop()
 		cuts.Start(func(ctx context.Context) { _ = site.Cut(ctx, []*Node{a}, site.Nodes(), false, 20*time.Second) })
 		crew.Pause(ctx, 3*time.Second)
-		base, now := site.current()
+		base, now := site.current(ctx)
 		newest = clone(now)
 		newest.Version = base + 1
 		fresh := newest.Routes[len(newest.Routes)-1]
--- a/control/control.go
+++ b/control/control.go
@@ -210,7 +210,7 @@
 // to be called as soon as the order was read: one that was held up, here or on its way,
 // must not be carried out when the operator has gone on. So it turns a site over only
 // where no order for that site was taken since what this node knew when it came (section
-// 4.7); else it is to be sent again. An order that turns nothing over is written all the
+// 4.8); else it is to be sent again. An order that turns nothing over is written all the
 // same: earlier ones, held up or held by a minority of the disks, are dead from then on.
 func (c *Control) EmptySite(ctx context.Context, site string, empty bool) (Outcome, []string, *verdict.Error) {
 	if !c.registers.Awake() {
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -106,6 +106,12 @@
 
 func (l *modelLog) Barrier(then func(error)) { then(nil) }
 
+// Recover writes the whole state anew: it stands in the place of every record.
+func (l *modelLog) Recover(state []Message, then func(error)) {
+	l.durable, l.waiting = slices.Clone(state), nil
+	then(nil)
+}
+
 func (l *modelLog) clone() *modelLog {
 	return &modelLog{
 		async: l.async, durable: slices.Clone(l.durable), waiting: slices.Clone(l.waiting),
@@ -704,7 +710,7 @@
 
 // kill ends the process, and its system still writes what waited.
 func (m *model) kill(d *modelDisk) {
-	if !d.acceptor.failed {
+	if d.acceptor.Trusted() {
 		d.log.durable = append(d.log.durable, d.log.waiting...)
 	}
 	d.log.waiting, d.log.replies = nil, nil
@@ -723,7 +729,7 @@
 
 // snapshot takes the place of the log, after what waits was synced.
 func (m *model) snapshot(d *modelDisk) {
-	if d.acceptor.failed {
+	if !d.acceptor.Trusted() {
 		return
 	}
 	m.sync(d)
@@ -783,7 +789,7 @@
 		if d.lost {
 			continue
 		}
-		if d.acceptor.failed {
+		if !d.acceptor.Trusted() {
 			m.restart(d)
 		}
 	}
@@ -1063,7 +1069,7 @@
 
 func (w *writing) acceptor(a *Acceptor) {
 	w.set(a.set)
-	w.flag(a.failed)
+	w.num(uint64(a.state))
 	for _, key := range a.keys() {
 		s := a.slots[key]
 		w.text(key)
--- a/sim/steps_test.go
+++ b/sim/steps_test.go
@@ -264,14 +264,6 @@
 	return ""
 }
 
-// read performs one read from a node.
-func read(w *World, n *Node, key string) (out register.Result) {
-	done := false
-	n.Do(register.Request{Key: key, Read: true, Patience: 4 * time.Second}, func(r register.Result) { out, done = r, true })
-	w.Until(6*time.Second, func() bool { return done })
-	return out
-}
-
 // replacing, wiping: the machine goes for good, or its disk does.
 func replacing(w *World, lost *Node) *Node { lost.Crash(true); return comes(w, lost) }
 
