A stop closes no connection whose request the process has read

Cause: net/http has a connection idle until it has read a request's whole head; the stop closed what it found idle, so a request that was read at that moment (its goroutine not yet run, on a machine with little processor time) lost its connection without an answer.

Change: a connection that is given up has its next read fail, in place of being closed; what was read is served.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -22,9 +22,10 @@
 }
 
 type state struct {
-	idle  bool
-	after bool // it became idle after the stop had begun
-	looks int  // that found it idle, one after the other
+	idle    bool
+	after   bool // it became idle after the stop had begun
+	looks   int  // that found it idle, one after the other
+	retired bool // it is to be closed, unless a request has been read from it
 }
 
 // New makes the connections of a server that has none yet.
@@ -37,8 +38,14 @@
 	switch to {
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
+	case http.StateActive:
+		if s := c.open[conn]; s != nil && s.retired {
+			// Its request had been read, in part or whole, when it was given up as idle.
+			_ = conn.SetReadDeadline(time.Time{})
+		}
+		c.open[conn] = &state{after: c.stop}
 	default:
-		c.open[conn] = &state{idle: to != http.StateActive, after: c.stop}
+		c.open[conn] = &state{idle: true, after: c.stop}
 	}
 }
 
@@ -51,8 +58,8 @@
 // Close closes connections that stay idle for a while, until none is left or ctx ends;
 // those whose reply ended after the stop had begun get a part of it, for their
 // consumer knows of the connection that it still lives.
-// A request that comes on one before that is served as ever, and its reply, whose head
-// is to say so, ends the connection. Nothing may accept new ones any more.
+// A request that is read from one before that is served as ever, and its reply, whose
+// head is to say so, ends the connection. Nothing may accept new ones any more.
 func (c *Conns) Close(ctx context.Context, idle time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -66,10 +73,16 @@
 	})
 }
 
-// look closes what has been idle long enough, and counts the others.
+// past is a deadline that has been missed; net/http's own is another.
+var past = time.Unix(2, 0)
+
+// look retires what has been idle long enough, and counts what is open. The server has
+// it idle until it has read a request's head, so closing it here could cut off a request
+// that is in the process already: only the next read is made to fail, upon which the
+// server closes. What has been read before is served.
 func (c *Conns) look() int {
 	c.mu.Lock()
-	var done []net.Conn
+	defer c.mu.Unlock()
 	for conn, s := range c.open {
 		if !s.idle {
 			continue
@@ -79,13 +92,9 @@
 			need = looksAfter
 		}
 		if s.looks++; s.looks > need {
-			done = append(done, conn)
+			s.retired = true
+			_ = conn.SetReadDeadline(past)
 		}
 	}
-	left := len(c.open) - len(done)
-	c.mu.Unlock()
-	for _, conn := range done {
-		_ = conn.Close()
-	}
-	return left
+	return len(c.open)
 }
