--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -118,6 +118,17 @@
 
 func (p *pieces) Close() error { return nil }
 
+// unnumbered is pieces whose last one has no id.
+type unnumbered struct{ pieces }
+
+func (u *unnumbered) Next() (Piece, error) {
+	piece, err := u.pieces.Next()
+	if u.from > u.to {
+		piece.ID = ""
+	}
+	return piece, err
+}
+
 // heard is a caller that keeps what it gets.
 type heard struct {
 	text, end string
@@ -182,6 +193,41 @@
 		So(h.end, ShouldEqual, "break")
 		So(w.spends, ShouldEqual, 2)
 	})
+	Convey("a stream whose last piece has no id is not taken up again: that piece would come twice", t, func() {
+		w := &world{write: func(int, Go) (Reply, error) {
+			return Reply{Head: Head{Status: 200}, HandOver: -1, Pieces: &unnumbered{pieces{1, 3, errCut}}}, nil
+		}}
+		h, _ := w.serve(desk.Kind{Resume: true}, true)
+		So(h.text, ShouldEqual, "1 2 3 ")
+		So(h.end, ShouldEqual, "break")
+		So(len(w.begun), ShouldEqual, 2)
+	})
+	Convey("a second go at an engine says so, so that it is not answered by the first one's late answer", t, func() {
+		var again []bool
+		w := &world{direct: true}
+		w.write = func(n int, g Go) (Reply, error) {
+			again = append(again, g.Again)
+			if n < 3 {
+				return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: engine.CodeBusy}
+			}
+			return stream(1, 1, io.EOF)
+		}
+		h, _ := w.serve(desk.Kind{Changing: true}, false)
+		So(h.end, ShouldEqual, "end")
+		So(again, ShouldResemble, []bool{false, true, true})
+	})
+	Convey("no try is run at more engines than its kind may be sent to, streams taken up again included", t, func() {
+		for most := 1; most <= 4; most++ {
+			w, runs := &world{direct: true}, 0
+			w.write = func(n int, g Go) (Reply, error) {
+				runs++
+				return stream(runs, runs, errCut)
+			}
+			h, _ := w.serve(desk.Kind{Resume: true, Goes: most}, true)
+			So(h.end, ShouldEqual, "break")
+			So(runs, ShouldEqual, most)
+		}
+	})
 	Convey("a stream of another kind is broken off", t, func() {
 		w := &world{write: func(int, Go) (Reply, error) { return stream(1, 3, errCut) }}
 		h, _ := w.serve(desk.Kind{}, true)
