Both subcommands that run a process share its logs, signals and stop

Cause: `node` and `platform` each set up the log and followed the signals by a copy of the same code.

Change: cmd/linedrum/process.go runs one process for both; they give how it starts and how it reads its settings anew.

--- a/cmd/linedrum/node.go
+++ b/cmd/linedrum/node.go
@@ -5,12 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/google/subcommands"
 
 	"linedrum.example/linedrum/event"
@@ -86,32 +82,21 @@
 		fmt.Println("the settings are sound")
 		return subcommands.ExitSuccess
 	}
-	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
-	if c.debug {
-		logger.Level = log.DebugLevel
-	}
-	out := event.New(logger)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := node.Start(s, out, node.Machine(), node.Outside{})
-	if err != nil {
-		out.Say(event.StartBounced, event.Fields{"reason": err.Error()})
-		return exitFailed
+	return process{
+		debug:  c.debug,
+		start:  func(out *event.Log) (*node.Node, error) { return node.Start(s, out, node.Machine(), node.Outside{}) },
+		reload: c.reload,
+	}.run()
+}
+
+// reload has a node go on by the settings read anew.
+func (c *nodeCommand) reload(n *node.Node) error {
+	fresh, faults := c.load()
+	if len(faults) == 0 {
+		faults = n.Reload(fresh)
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		fresh, faults := c.load()
-		if len(faults) == 0 {
-			faults = n.Reload(fresh)
-		}
-		if len(faults) > 0 {
-			out.Say(event.ReloadBounced, event.Fields{"reason": faults.Error()})
-			continue
-		}
-		out.Say(event.Reloaded, nil)
+	if len(faults) > 0 {
+		return faults
 	}
-	n.Stop()
-	return subcommands.ExitSuccess
+	return nil
 }
--- a/cmd/linedrum/platform.go
+++ b/cmd/linedrum/platform.go
@@ -6,11 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/apex/log"
-	jsonlog "github.com/apex/log/handlers/json"
 	"github.com/google/subcommands"
 
 	"linedrum.example/linedrum/event"
@@ -53,30 +49,11 @@
 		fmt.Println(string(b))
 		return subcommands.ExitSuccess
 	}
-	logger := &log.Logger{Handler: jsonlog.New(os.Stderr), Level: log.InfoLevel}
-	if c.debug {
-		logger.Level = log.DebugLevel
-	}
-	out := event.New(logger)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := launch.Start(place, out, node.Machine())
-	if err != nil {
-		out.Say(event.StartBounced, event.Fields{"reason": err.Error()})
-		return exitFailed
-	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		if err := reread(n); err != nil {
-			out.Say(event.ReloadBounced, event.Fields{"reason": err.Error()})
-			continue
-		}
-		out.Say(event.Reloaded, nil)
-	}
-	n.Stop()
-	return subcommands.ExitSuccess
+	return process{
+		debug:  c.debug,
+		start:  func(out *event.Log) (*node.Node, error) { return launch.Start(place, out, node.Machine()) },
+		reload: reread,
+	}.run()
 }
 
 func reread(n *node.Node) error {
