Model: a change of the voters that is given up

Cause: the explorer's changes always went on to their end. Change: a node may leave the new disks out again, beside one that finishes.

--- a/register/explore_test.go
+++ b/register/explore_test.go
@@ -63,6 +63,8 @@
 	{"grown, then one wiped", growing.with(faults{Wipe: 1}), 10_000, true},
 	{"grown, power lost, then one wiped", growing.with(faults{Power: 1, Wipe: 1}), 10_000, true},
 	{"grown beside a write, then one wiped", growing.further().with(faults{Wipe: 1}), 1_500, false},
+	{"left out again, or replaced and then one wiped", replaced.with(faults{LeaveOut: 1, Wipe: 1}), 10_000, true},
+	{"left out again by one node, replaced by another", handed.with(faults{LeaveOut: 1}), 1_500, false},
 	{"changed by two nodes", handed, 1_500, false},
 	{"changed by two nodes, two rounds out of time", handed.with(faults{Tick: 2}), 1_500, false},
 }
