Nodes next to the duty's holder change the disks where it does not

Cause: the holder of the duty disks was cut off from the voting disks alone; relays kept its permit, so that it kept the duty, and no lost disk was replaced until a second was lost.

--- a/core/change.go
+++ b/core/change.go
@@ -8,6 +8,7 @@
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/quorum"
 	"linedrum.example/linedrum/register"
+	"linedrum.example/linedrum/ring"
 	"linedrum.example/linedrum/wire"
 )
 
@@ -25,6 +26,7 @@
 	shunned  map[string]time.Duration // unknown disk: it did not copy; passed over until then
 	joint    uint64                   // the joint set that is being finished
 	since    time.Duration            // since when
+	open     time.Duration            // since when a change is called for; 0: none is
 	busy     bool
 	readyFor uint64          // this disk: the joint set's serial that it has copied everything for
 	taken    map[string]bool // this disk: copied whole from these, under takenFor
@@ -81,22 +83,51 @@
 	}
 	c.change.due = now + c.catchUp()/64
 	set := c.Holder.Set()
-	if !set.Formed() || !c.Hold(KeyDisks) {
-		c.change.absent, c.change.fresh, c.change.shunned, c.change.joint = nil, nil, nil, 0
+	wait, mine := c.changePatience()
+	if !set.Formed() || !mine {
+		c.change.absent, c.change.fresh, c.change.shunned, c.change.joint, c.change.open = nil, nil, nil, 0, 0
 		return
 	}
 	if c.change.absent == nil {
 		c.change.absent, c.change.fresh, c.change.shunned = map[string]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}
 	}
-	if len(set.Next) > 0 {
-		c.finishChange(now, set)
+	next := set.Next
+	if len(set.Next) == 0 {
+		next = c.wanted(now, set)
+	}
+	if next == nil {
+		c.change.open = 0
 		return
 	}
-	if next := c.wanted(now, set); next != nil {
+	if c.change.open == 0 {
+		c.change.open = now
+	}
+	switch {
+	case now-c.change.open < wait:
+	case len(set.Next) > 0:
+		c.finishChange(now, set)
+	default:
 		c.record(set, quorum.Set{Serial: set.Serial + 1, Disks: set.Disks, Next: next})
 	}
 }
 
+// standIns is how many nodes next to the duty's holder do its work in its place.
+const standIns = 2
+
+// changePatience tells whether this node changes the set, and how long a change must
+// have been called for before it does: the duty's holder acts at once, the nodes next to
+// it in turn, where it does not, since it may reach the other nodes and not the disks.
+func (c *Core) changePatience() (wait time.Duration, mine bool) {
+	if c.Hold(KeyDisks) {
+		return 0, true
+	}
+	rank := c.Member.Rank(ring.Of(KeyDisks))
+	if rank == 0 || rank > standIns || !c.Keeper.Held() {
+		return 0, false
+	}
+	return time.Duration(rank) * c.catchUp() / 4, true
+}
+
 // wanted finds the disks that should vote instead of a set's, nil where these are right.
 func (c *Core) wanted(now time.Duration, set quorum.Set) []quorum.Disk {
 	served, at := c.servedDisks()
@@ -248,14 +279,15 @@
 	}
 }
 
-// record decides the next set through its register, and only then uses it.
+// record decides the next set through its register, and only then uses it. Where this
+// node does not reach the disks itself, the next nearest one performs the operation.
 func (c *Core) record(from, next quorum.Set) {
 	if c.change.busy {
 		return
 	}
 	c.change.busy = true
 	patience := c.settings.Bounds.InForce.D()
-	c.Holder.Do(register.Request{Key: KeyDisks, Read: true, Patience: patience}, func(r register.Result) {
+	c.Paths.Do(register.Request{Key: KeyDisks, Read: true, Patience: patience}, func(r register.Result) {
 		if r.Outcome != register.Done {
 			c.change.busy = false
 			return
@@ -271,7 +303,7 @@
 		if err != nil {
 			panic(err)
 		}
-		c.Holder.Do(register.Request{Key: KeyDisks, Base: r.Cell.Serial, Op: c.OpID(), Value: value, Patience: patience}, func(r register.Result) {
+		c.Paths.Do(register.Request{Key: KeyDisks, Base: r.Cell.Serial, Op: c.OpID(), Value: value, Patience: patience}, func(r register.Result) {
 			c.change.busy = false
 			if r.Outcome == register.Done {
 				c.decided(next)
--- a/sim/disks_test.go
+++ b/sim/disks_test.go
@@ -293,3 +293,30 @@
 		t.Logf("320 changes were held after at most %v", worst)
 	})
 }
+
+func TestDutyCutFromDisks(t *testing.T) {
+	Convey("a lost disk is replaced though the duty's holder reaches none of the others", t, func() {
+		first, last := seeds(12)
+		tried := 0
+		for seed := first; seed <= last; seed++ {
+			w := calm(seed, small, 3)
+			voters := w.voters()
+			holder := w.byAddr[w.Nodes[0].Core.Owner(core.KeyDisks)]
+			if holder.Disk != nil {
+				continue
+			}
+			tried++
+			for _, voter := range voters {
+				w.Cut(holder, voter)
+				w.Cut(voter, holder)
+			}
+			back := replaced(w, voters[0])
+			if !w.Until(2*bound(back), func() bool { return w.Set().Old(back.Disk.Identity) && len(w.Set().Next) == 0 }) {
+				t.Errorf("seed %d: %+v", seed, w.Set())
+			}
+		}
+		So(tried, ShouldBeGreaterThan, 2)
+	})
+}
+
+func bound(n *Node) time.Duration { return n.Settings.Bounds.CatchUp.D() }
