--- a/core/change.go
+++ b/core/change.go
@@ -133,8 +133,10 @@
 	served, at := c.servedDisks()
 	var members, fresh []quorum.Candidate
 	sees := quorum.Set{Serial: set.Serial, Disks: set.Disks}.Majority(func(d string) bool { return served[d].Addr != "" })
+	whole := true
 	for _, d := range set.Disks {
 		e, _, _ := c.Member.Known(d.Addr)
+		whole = whole && served[d.Identity].Addr != ""
 		members = append(members, quorum.Candidate{Disk: d, Site: e.Site, Gone: c.gone(now, d, served, at)})
 	}
 	newest := time.Duration(0)
@@ -167,8 +169,8 @@
 		return nil // whoever sees no majority of the disks is itself the one that is away
 	}
 	machines := c.settings.CanLose.Machines
-	if now-newest < c.catchUp()/8 {
-		machines = 0 // more may be coming: the set grows by all of them at once
+	if now-newest < c.catchUp()/8 || !whole {
+		machines = 0 // more may be coming: the set grows by all of them at once, and round no lost disk
 	}
 	return quorum.Choose(members, fresh, machines)
 }
