--- a/node/control.go
+++ b/node/control.go
@@ -9,17 +9,25 @@
 	"linedrum.example/linedrum/core"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 )
 
-// Picture copies what is in force; its maps are never written after that.
-func (n *Node) Picture() serve.Picture {
+// InForce gives what is in force by this node's lease; false without one. The maps are
+// never written after that.
+func (n *Node) InForce() (serve.InForce, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := n.picture
-	p.Until = n.core.Keeper.Until()
-	return p
+	return lease.Give(lease.Clock(n.clock), n.core.Keeper.Until(), n.picture)
+}
+
+// newest copies the newest control state that came in force here, with a lease or
+// without one: for duties, which write by compare-and-set.
+func (n *Node) newest() serve.Picture {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.picture
 }
 
 // Permit tells whether a new go may start now.
@@ -31,11 +39,12 @@
 
 // NotReady says why this node cannot serve callers now; empty when it can.
 func (n *Node) NotReady() string {
-	p := n.Picture()
+	inForce, held := n.InForce()
+	p := inForce.Value()
 	switch {
 	case n.stopping.Load():
 		return "stopping"
-	case !n.Permit():
+	case !held:
 		return "no permit"
 	case p.Desk == nil:
 		return "no desk file"
@@ -66,6 +75,7 @@
 		if p.file == nil {
 			fields["unreadable"] = true
 		}
+		n.Applied(p.applied)
 		n.wantKeys()
 	case key == core.KeyEngines:
 		number = event.EnginesTaken
@@ -78,6 +88,7 @@
 		var state engine.SiteState
 		_ = json.Unmarshal(cell.Value, &state)
 		n.picture.Sites, n.picture.SiteSerial = state, cell.Serial
+		n.settling.Adopt(cell.Serial, n.clock.Now())
 	case key == core.KeyWindows:
 		number = event.WindowsTaken
 		n.picture.Windows = register.DecodeWindows(cell)
@@ -91,7 +102,7 @@
 		for name, r := range n.picture.Roles {
 			roles[name] = r
 		}
-		roles[pool] = serve.RolesInForce{Table: table, Fence: fenceOf(cell)}
+		roles[pool] = serve.RolesInForce{Table: table, Fence: fenceOf(table, cell.Serial)}
 		n.picture.Roles = roles
 		fields["pool"] = pool
 	}
@@ -103,8 +114,10 @@
 	n.bus.Publish(bus.TopicInForce, map[string]any{"key": key, "serial": cell.Serial})
 }
 
-func fenceOf(cell register.Cell) engine.Fence {
-	return engine.Fence{Count: cell.Epoch.Count, Holder: cell.Epoch.Holder, Serial: cell.Serial}
+// fenceOf is the fence of a table's orders. The cell's epoch has no part in it: whoever
+// settles a cell gives it an epoch of its own, and has not become the holder by that.
+func fenceOf(table engine.RoleTable, serial uint64) engine.Fence {
+	return engine.Fence{Count: table.Term, Holder: table.Holder, Serial: serial}
 }
 
 // wantKeys makes the permit cover the role tables of all pools in force.
@@ -144,6 +157,20 @@
 	}
 }
 
+// Seen is what this node holds of a key now.
+func (n *Node) Seen(key string) register.Cell {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Keeper.Cell(key)
+}
+
+// Awake tells that this process has run without a break for a moment.
+func (n *Node) Awake() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.awake.calmAt(n.clock.Now())
+}
+
 // Look reads one key from a majority without writing anything.
 func (n *Node) Look(ctx context.Context, key string, patience time.Duration) (register.Cell, bool) {
 	type found struct {
--- a/node/engines.go
+++ b/node/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
+	"linedrum.example/linedrum/warmth"
 )
 
 // engines is the table of engines as this node sees them.
@@ -23,10 +25,12 @@
 	stale    time.Duration // a report older than this does not count
 	rest     time.Duration // an engine rests this long after a failed go
 	ramp     time.Duration // slow start
+	started  time.Duration // when this process had its first picture; before, it sent nothing
 	listing  bool          // a lister says what engines play: nothing need be asked for service
 	mu       sync.Mutex    // taken after the gate's and the core lock
 	servers  map[string]*server
 	picture  serve.Picture
+	doubts   warmth.Doubts
 	slow     map[[2]string]linkCost
 	nodes    int
 	rank     int
@@ -37,6 +41,15 @@
 	kept     *kept.Book
 	gone     map[string]bool  // left or leaving by this node's own look, though not yet in force
 	notices  chan kept.Notice // of this node's goes, for the cohort
+	tick     time.Duration    // a snapshot is used for no longer
+	latest   *snapshot        // nil: something that it rests on has changed since
+}
+
+// snapshot is the pairing's picture of the servers at a moment, without what they keep
+// of a prompt. It is never changed, since explanations hold it.
+type snapshot struct {
+	servers []pairing.Server
+	at      time.Duration
 }
 
 type server struct {
@@ -50,9 +63,10 @@
 	resting  time.Duration
 	failed   int // goes that failed in a row
 	ordered  engine.Fence
-	obeyed   time.Duration // when it took that order
-	began    time.Duration // when this node last began a go there; 0: never
-	cold     time.Duration // until when it is cold
+	obeyed   time.Duration   // when it took that order
+	began    time.Duration   // when this node last nominated it for a go; 0: never
+	sent     []time.Duration // when this node sent the goes of the last pairing.ColdWindow there
+	cold     time.Duration   // until when it is cold
 }
 
 // told tells whether the list says all of an engine that service needs.
@@ -68,7 +82,7 @@
 
 func newEngines(site string, recovery time.Duration, listing bool) *engines {
 	return &engines{
-		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6,
+		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6, tick: recovery / 1200,
 		kept: kept.New(), notices: make(chan kept.Notice, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
 	}
 }
@@ -77,16 +91,22 @@
 func (t *engines) take(p serve.Picture, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.picture = p
+	if t.started == 0 {
+		t.started = now
+	}
+	looked := p.EngineSerial != t.picture.EngineSerial
+	t.picture, t.latest = p, nil
+	t.doubts.Take(p.Sites.Back, p.Engines.Covers, now)
 	listed := map[string]bool{}
 	for _, e := range p.Engines.Engines {
 		listed[e.Name] = true
 		s := t.servers[e.Name]
-		if s == nil || s.listed.Addr != e.Addr {
+		fresh := s == nil || s.listed.Addr != e.Addr
+		if fresh {
 			s = &server{}
 			t.servers[e.Name] = s
 		}
-		if e.ColdMS > 0 && e.ColdMS != s.listed.ColdMS {
+		if e.ColdMS > 0 && (fresh || looked) {
 			s.cold = now + time.Duration(e.ColdMS)*time.Millisecond
 		}
 		s.listed = e
@@ -110,7 +130,7 @@
 func (t *engines) takeAway(gone map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gone = gone
+	t.gone, t.latest = gone, nil
 }
 
 func (t *engines) place(nodes, rank int, partial bool) {
@@ -119,8 +139,24 @@
 	t.nodes, t.rank, t.partial = nodes, rank, partial
 }
 
-// list is the pairing's picture of the servers. Called under t.mu.
+// list is the pairing's picture of the servers for a prompt; it is only read, since
+// others may hold it. Called under t.mu.
 func (t *engines) list(parts []engine.Part, now time.Duration) []pairing.Server {
+	if t.latest == nil || now < t.latest.at || now-t.latest.at >= t.tick {
+		t.latest = &snapshot{servers: t.observe(now), at: now}
+	}
+	if len(parts) == 0 {
+		return t.latest.servers
+	}
+	out := slices.Clone(t.latest.servers)
+	for i := range out {
+		out[i].Kept = t.kept.Tokens(out[i].Name, out[i].Life, parts)
+	}
+	return out
+}
+
+// observe makes the pairing's picture of the servers. Called under t.mu.
+func (t *engines) observe(now time.Duration) []pairing.Server {
 	out := make([]pairing.Server, 0, len(t.servers))
 	heard, unheard := map[string]loads{}, []int(nil)
 	for _, e := range t.picture.Engines.Engines {
@@ -134,15 +170,12 @@
 		role := t.picture.Roles[e.Pool].Table.Roles[e.Name]
 		one := pairing.Server{
 			Listed: e, Role: role, Load: s.load, Seen: s.at > 0 && now-s.at < t.stale,
-			Age: time.Duration(s.load.AgeMS)*time.Millisecond + now - s.at, Inflight: s.inflight, Since: s.since,
-			Resting: now < s.resting, Cold: max(s.cold-now, 0), Quiet: now,
+			Age: t.age(s, now), Inflight: s.inflight, Since: s.since,
+			Resting: now < s.resting, Cold: t.coldLeft(s, now), Quiet: now, Recent: t.recent(s, now),
 		}
 		if s.began > 0 {
 			one.Quiet = now - s.began
 		}
-		if len(parts) > 0 {
-			one.Kept = t.kept.Tokens(e.Name, e.Life, parts)
-		}
 		one.Backlog = t.kept.Backlog(e.Name, e.Life, now)
 		if t.toldOf(e) {
 			one.Load.Role = e.Role
@@ -158,9 +191,6 @@
 				heard[e.Pool+" "+role] = heard[e.Pool+" "+role].plus(s.load)
 			}
 			one.Seen = true
-			if s.load.Boot == "" {
-				one.Age = t.ramp
-			}
 		}
 		if one.Load.Role != role {
 			one.Role = "" // it has not obeyed yet, or started anew
@@ -176,6 +206,27 @@
 	return out
 }
 
+// coldLeft is for how long an engine counts as cold yet. One of a site that was taken
+// back does until the list tells, or until it must have become warm. Called under t.mu.
+func (t *engines) coldLeft(s *server, now time.Duration) time.Duration {
+	until := s.cold
+	if since, doubted := t.doubts.Since(s.listed.Site); doubted {
+		until = max(until, since+t.warmFor(s.listed.Pool))
+	}
+	return max(until-now, 0)
+}
+
+// warmFor is how long an engine of a pool stays cold, as far as is told; else as long as
+// a slow start takes. Called under t.mu.
+func (t *engines) warmFor(pool string) time.Duration {
+	if t.picture.Desk != nil {
+		if p, ok := t.picture.Desk.Pool(pool); ok && p.WarmFor > 0 {
+			return p.WarmFor.D()
+		}
+	}
+	return t.ramp
+}
+
 // loads sums up what some engines said last.
 type loads struct{ engines, running, waiting int }
 
@@ -244,6 +295,7 @@
 }
 
 func (t *engines) begin(name string, now time.Duration) {
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.inflight++
 		s.since++
@@ -251,10 +303,66 @@
 	}
 }
 
+// Turn implements serve.Engines.
+func (t *engines) Turn(pool, name string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil {
+		return true // whoever nominated it is told that it is gone
+	}
+	one := pairing.Server{
+		Listed: s.listed, Age: t.age(s, now), Cold: t.coldLeft(s, now), Recent: t.recent(s, now),
+	}
+	v := t.warming(pool)
+	if !v.Turn(one) {
+		return false
+	}
+	if v.WarmRate > 0 {
+		s.sent = append(s.sent, now)
+	}
+	return true
+}
+
+// anySent stands for goes that an earlier life of this process may have sent.
+const anySent = 1 << 20
+
+// recent is how many goes this machine may have sent to an engine of late. Called
+// under t.mu.
+func (t *engines) recent(s *server, now time.Duration) int {
+	if t.started > 0 && now-t.started < pairing.ColdWindow {
+		return anySent
+	}
+	for len(s.sent) > 0 && now-s.sent[0] >= pairing.ColdWindow {
+		s.sent = s.sent[1:]
+	}
+	return len(s.sent)
+}
+
+// warming is the part of a view that goes to cold engines rest on. Called under t.mu.
+func (t *engines) warming(pool string) pairing.View {
+	v := pairing.View{Pool: pool, Nodes: t.nodes, Rank: t.rank, Partial: t.partial}
+	if t.picture.Desk != nil {
+		if p, ok := t.picture.Desk.Pool(pool); ok {
+			v.WarmRate, v.WarmFor = p.WarmRate, p.WarmFor.D()
+		}
+	}
+	return v
+}
+
+// age is how long an engine runs, by its last report. Called under t.mu.
+func (t *engines) age(s *server, now time.Duration) time.Duration {
+	if t.toldOf(s.listed) && s.load.Boot == "" {
+		return t.ramp
+	}
+	return time.Duration(s.load.AgeMS)*time.Millisecond + now - s.at
+}
+
 // Kept notes that an engine has a chain of parts in its memory now.
 func (t *engines) Kept(pool, name string, parts []engine.Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	s := t.servers[name]
 	if s == nil || t.picture.Desk == nil || len(parts) == 0 {
 		return
@@ -273,6 +381,7 @@
 func (t *engines) End(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.inflight = max(s.inflight-1, 0)
 		s.since-- // below nought: a go that the last report counted has ended
@@ -344,8 +453,9 @@
 	return s.at > 0 && !(s.load.Role == role && (!s.load.Fence.Less(fence) || s.ordered == fence))
 }
 
-// order sends roles to the engines that do not report them under this fence.
-func (t *engines) order(n *Node, pool string, table map[string]string, fence engine.Fence) {
+// order sends roles to the engines that do not report them under this fence. An order is
+// dropped that could not be written in time, or when may says no.
+func (t *engines) order(n *Node, pool string, table map[string]string, fence engine.Fence, may func() bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, role := range table {
@@ -356,16 +466,16 @@
 		t.ordering[name] = true
 		listed := s.listed
 		n.crew.Start(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.InForce.D()/2)
+			ctx, cancel := context.WithTimeout(ctx, n.orderTime())
 			defer cancel()
-			err := n.speech.Order(ctx, listed, engine.Order{Pool: pool, Role: role, Fence: fence})
+			err := n.speech.Order(ctx, listed, engine.Order{Pool: pool, Role: role, Fence: fence, May: may})
 			t.mu.Lock()
 			delete(t.ordering, name)
 			if err == nil {
 				s.ordered, s.obeyed = fence, n.clock.Now()
 			}
 			t.mu.Unlock()
-			fields := event.Fields{"engine": name, "role": role, "epoch": fence.Count, "serial": fence.Serial}
+			fields := event.Fields{"engine": name, "role": role, "term": fence.Count, "serial": fence.Serial}
 			if err != nil {
 				fields["reason"] = err.Error()
 				n.log.Say(event.RoleBounced, fields)
@@ -418,6 +528,7 @@
 func (t *engines) Heard(name string, load engine.Load, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	s := t.servers[name]
 	if s == nil {
 		return
@@ -438,6 +549,7 @@
 func (t *engines) polled(name string, load engine.Load, ok bool, now time.Duration) (turned bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	s := t.servers[name]
 	if s == nil {
 		return false
@@ -469,6 +581,7 @@
 func (t *engines) Full(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.load.Running = max(s.load.Running, s.load.Slots)
 	}
@@ -478,6 +591,7 @@
 func (t *engines) Outdated(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.at = 0
 	}
@@ -487,6 +601,7 @@
 func (t *engines) RestFor(name string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		// Twice as long each time in a row, up to the span of a slow start.
 		s.resting = now + min(t.rest<<min(s.failed, 10), t.ramp)
@@ -498,6 +613,7 @@
 func (t *engines) Well(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.latest = nil
 	if s := t.servers[name]; s != nil {
 		s.failed, s.resting = 0, 0
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -24,11 +24,11 @@
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/register"
-	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/speech"
 	"linedrum.example/linedrum/wal"
+	"linedrum.example/linedrum/warmth"
 	"linedrum.example/linedrum/wire"
 )
 
@@ -48,15 +48,16 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	core      *core.Core
+	awake     awake
 	disk      *wal.Log
 	folder    Folder
 	opened    *openedDisk // nil until the data folder is open
 	picture   serve.Picture
+	settling  warmth.Settling // of the sites' state, under mu
 	tableNews tableNews
 	desks     desks
-	planner   map[string]*roles.Planner // of the duties' own goroutine
-	rivals    map[string]*core.Rivalry  // of the duties' own goroutine
-	window    struct {                  // of the duties' own goroutine: the newest window seen, and since when
+	posts     map[string]*post // of the duties' own goroutine
+	window    struct {         // of the duties' own goroutine: the newest window seen, and since when
 		serial uint64
 		since  time.Duration
 	}
@@ -105,11 +106,12 @@
 // Start brings a node up on a host; Stop takes it down.
 func Start(s settings.Settings, log *event.Log, host Host, outside Outside) (_ *Node, err error) {
 	n := &Node{
-		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, planner: map[string]*roles.Planner{}, rivals: map[string]*core.Rivalry{},
+		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, posts: map[string]*post{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
-		speech: outside.Speech, lister: outside.Lister,
+		speech: outside.Speech, lister: outside.Lister, settling: warmth.Settling{Lag: listLag(outside.Lister, s.Bounds)},
 	}
-	n.Control = control.New(n, 2*s.Bounds.InForce.D())
+	n.awake = awake{gap: s.Bounds.InForce.D() / 4, calm: s.Bounds.InForce.D() / 4}
+	n.Control = control.New(n, n.clock, s.Bounds.InForce.D(), 2*s.Bounds.Recovery.D())
 	defer func() {
 		if err != nil {
 			n.cleanup.Run()
@@ -226,16 +228,23 @@
 func (n *Node) Kill() { n.cleanup.Run() }
 
 // Stop takes the node down as planned (section 6): callers are served to the
-// last request that was read whole, then the node hands its duties over and
-// leaves the ring.
+// last request that was read whole, and its disk's vote goes to another disk that
+// waits; then the node hands its duties over and leaves the ring.
 func (n *Node) Stop() {
 	n.log.Say(event.Stopping, nil)
 	n.stopping.Store(true)
+	n.mu.Lock()
+	n.core.Retire()
+	n.mu.Unlock()
+	bounds := n.settings.Bounds
+	retiring, cancel := context.WithTimeout(context.Background(), min(bounds.CatchUp.D(), bounds.Drain.D()*3/4))
+	defer cancel()
 	draining := crew.New(context.Background())
 	for _, f := range n.faces {
 		draining.Start(func(context.Context) { f.Drain() })
 	}
 	draining.Wait()
+	n.awaitRetired(retiring)
 	n.mu.Lock()
 	n.core.Leave()
 	n.mu.Unlock()
@@ -245,6 +254,19 @@
 	n.log.Say(event.Stopped, nil)
 }
 
+// awaitRetired waits until this node's disk has no vote, or nobody can take it.
+func (n *Node) awaitRetired(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	crew.Every(ctx, n.settings.Bounds.InForce.D()/100, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.core.Retired() {
+			cancel()
+		}
+	})
+}
+
 func (n *Node) awaitLeft() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Bounds.Recovery.D()/12)
 	defer cancel()
@@ -262,6 +284,7 @@
 	crew.Every(ctx, n.core.TickEvery(), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		n.awake.tick(n.clock.Now())
 		n.core.Tick()
 		if n.clock.Now() >= n.tableNews.first+n.settings.Bounds.Recovery.D()/60 {
 			n.tableNews.say(n.log.Say)
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -25,6 +25,7 @@
 	Backlog time.Duration `json:",omitempty"`
 	Cold    time.Duration `json:",omitempty"` // it stays cold for so long yet
 	Quiet   time.Duration `json:",omitempty"` // since this node last began a go there
+	Recent  int           `json:",omitempty"` // goes that this machine may have sent there within ColdWindow
 }
 
 // View is everything else that a nomination rests on.
--- a/serve/goes.go
+++ b/serve/goes.go
@@ -20,6 +20,8 @@
 	return &q.ledger.Goes[len(q.ledger.Goes)-1]
 }
 
+// end notes how a go ended. In the ledger, ran is a reply that came whole: an engine
+// that ran the request and failed left none, so all that is known is that it may have run.
 func (q *request) end(g *ledger.Go, err error) {
 	g.Ended = q.s.clock.Now()
 	g.Verdict = verdict.Ran
@@ -27,6 +29,9 @@
 		q.engines.Well(g.Server)
 	} else {
 		g.Verdict = verdict.Of(err)
+		if g.Verdict == verdict.Ran {
+			g.Verdict = verdict.MayHaveRun
+		}
 		var e *verdict.Error
 		if errors.As(err, &e) {
 			g.Code = e.Code
@@ -39,7 +44,7 @@
 func (q *request) failedGo(server string, g *ledger.Go) {
 	q.release()
 	switch g.Code {
-	case engine.CodeLapsed, engine.CodeInput:
+	case engine.CodeLapsed, engine.CodeInput, engine.CodeNoLease:
 	case engine.CodeBusy:
 		// Full until its next report; and where that says otherwise again and again,
 		// another engine is the better one.
@@ -58,7 +63,7 @@
 func (q *request) goTo(s pairing.Server) Go {
 	g := Go{
 		Ask: q.ask, Server: s.Listed, Model: q.desk.Model, Left: q.ledger.Expiry - q.s.clock.Now(), Urgency: q.kind.Urgency,
-		Fence: q.fence(s), Decided: q.decided, Out: q.out, After: q.ask.After,
+		Fence: q.fence(s), Decided: q.decided, InForce: q.inForce, Out: q.out, After: q.ask.After, Again: q.wentTo(s.Name),
 	}
 	if q.last != "" {
 		g.After = q.last
@@ -66,6 +71,16 @@
 	return g
 }
 
+// wentTo tells whether an engine had a go of this request before the present one.
+func (q *request) wentTo(server string) bool {
+	for _, g := range q.ledger.Goes[:len(q.ledger.Goes)-1] {
+		if g.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
 func (q *request) prefill() {
 	ctx, cancel := q.expiryContext()
 	defer cancel()
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -21,7 +21,8 @@
 	head  Head
 	reply []byte // a whole reply; nil: none yet, or it was passed on as it came
 	began bool   // the head was given
-	last  string // id of the last piece passed on
+	last  string // id of the last piece passed on that had one
+	blank bool   // the last piece passed on had none
 	deaf  bool   // the caller takes nothing more
 }
 
@@ -43,7 +44,7 @@
 		}
 		if err != nil {
 			// What bears no id cannot be gone on after.
-			q.ledger.Resume = q.ledger.Resume && (!q.began || q.last != "")
+			q.ledger.Resume = q.ledger.Resume && !q.blank
 			return err
 		}
 		if !q.ask.Stream && !q.began {
@@ -81,7 +82,8 @@
 		q.deaf = true
 		return errors.Trace(err)
 	}
-	if piece.ID != "" {
+	q.blank = piece.ID == ""
+	if !q.blank {
 		q.last = piece.ID
 	}
 	return nil
@@ -130,7 +132,7 @@
 	e := &verdict.Error{Verdict: m.Verdict, Code: m.Code, Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
 	switch m.Code {
 	case ledger.CodePermit:
-		e.Reason = "this node cannot confirm that its desk file and engines are the newest"
+		return q.s.noLease().fault
 	case ledger.CodeExpired:
 		e.Status, e.Reason = http.StatusGatewayTimeout, "the request's time is over"
 		if m.Verdict == verdict.NotRun {
@@ -161,9 +163,8 @@
 	return e
 }
 
-func (q *request) failed(fault *verdict.Error) {
-	q.caller.Fail(fault)
-	q.ended(fault)
+func (q *request) failed(refusal *Refusal) {
+	q.ended(q.caller.Fail(refusal))
 }
 
 // ended tells the process's other parts; it is the last thing a request does.
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -17,6 +17,7 @@
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/gate"
+	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
@@ -29,16 +30,35 @@
 	direct bool
 	begun  []string // "phase engine after", in order
 	freed  []string
-	taken  int // reservations not given back
+	taken  int                           // reservations not given back
+	turns  func(name string, n int) bool // the nth asked for; nil: all are given
+	asked  int
 	spends int
 	read   func(n int) error
 	write  func(n int, g Go) (Reply, error)
 	last   Ended
+	full   bool // no engine can be reserved
+	rested []string
+	now    time.Duration        // boot time; 0: a minute
+	tell   func() time.Duration // boot time, where it moves by itself
+	until  func() time.Duration // of the lease; nil: long enough
 }
 
-func (w *world) Now() time.Duration { return time.Minute }
-func (w *world) Picture() Picture {
-	return Picture{Desk: w.file, DeskSerial: 1, Until: time.Hour}
+func (w *world) Now() time.Duration {
+	if w.tell != nil {
+		return w.tell()
+	}
+	if w.now > 0 {
+		return w.now
+	}
+	return time.Minute
+}
+func (w *world) InForce() (InForce, bool) {
+	until := time.Hour
+	if w.until != nil {
+		until = w.until()
+	}
+	return lease.Give(lease.Clock(w), until, Picture{Desk: w.file, DeskSerial: 1})
 }
 func (w *world) Real(time.Duration) {}
 func (w *world) May() bool          { return true }
@@ -56,6 +76,9 @@
 	return pairing.Server{Listed: engine.Listed{Name: name}}
 }
 func (w *world) Reserve(Want, time.Duration) (pairing.Pair, explain.Nomination, bool) {
+	if w.full {
+		return pairing.Pair{}, explain.Nomination{}, false
+	}
 	if w.direct {
 		w.taken++
 		return pairing.Pair{Writer: w.server("w"), Direct: true}, explain.Nomination{}, true
@@ -67,6 +90,10 @@
 	w.taken++
 	return w.server("w"), explain.Nomination{}, true
 }
+func (w *world) Turn(_, name string, _ time.Duration) bool {
+	w.asked++
+	return w.turns == nil || w.turns(name, w.asked)
+}
 func (w *world) End(string)                                               { w.taken-- }
 func (w *world) Manner() Manner                                           { return Manner{TakenOnce: true, MayDirect: w.direct} }
 func (w *world) Kept(string, string, []Part)                              {}
@@ -76,7 +103,7 @@
 func (w *world) Well(string)                                              {}
 func (w *world) Full(string)                                              {}
 func (w *world) Outdated(string)                                          {}
-func (w *world) RestFor(string, time.Duration)                            {}
+func (w *world) RestFor(name string, _ time.Duration)                     { w.rested = append(w.rested, name) }
 func (w *world) Heard(string, engine.Load, time.Duration)                 {}
 func (w *world) Load(context.Context, engine.Listed) (engine.Load, error) { return engine.Load{}, nil }
 func (w *world) Order(context.Context, engine.Listed, engine.Order) error { return nil }
@@ -118,15 +145,33 @@
 
 func (p *pieces) Close() error { return nil }
 
+// unnumbered is pieces whose last one has no id.
+type unnumbered struct{ pieces }
+
+func (u *unnumbered) Next() (Piece, error) {
+	piece, err := u.pieces.Next()
+	if u.from > u.to {
+		piece.ID = ""
+	}
+	return piece, err
+}
+
 // heard is a caller that keeps what it gets.
 type heard struct {
 	text, end string
 	begins    int
 	fault     *verdict.Error
+	before    func() // runs right before a refusal is told
 }
 
-func (h *heard) Context() context.Context   { return context.Background() }
-func (h *heard) Fail(fault *verdict.Error)  { h.end, h.fault = h.end+"fail", fault }
+func (h *heard) Context() context.Context { return context.Background() }
+func (h *heard) Fail(refusal *Refusal) *verdict.Error {
+	if h.before != nil {
+		h.before()
+	}
+	h.end, h.fault = h.end+"fail", refusal.Told()
+	return h.fault
+}
 func (h *heard) Begin(Head) error           { h.begins++; return nil }
 func (h *heard) Piece(b []byte) error       { h.text += string(b); return nil }
 func (h *heard) End() error                 { h.end += "end"; return nil }
@@ -134,7 +179,10 @@
 
 var errCut = &verdict.Error{Verdict: verdict.MayHaveRun, Code: engine.CodeCut}
 
-func (w *world) serve(kind desk.Kind, stream bool) (*heard, explain.Record) {
+// serverOf is a server with one desk "d" of one kind.
+func (w *world) serverOf(kind desk.Kind) *Server { return w.path(kind, explain.NewBook(1)) }
+
+func (w *world) path(kind desk.Kind, book *explain.Book) *Server {
 	kind.Name, kind.Queue, kind.MaxTokens, kind.Share, kind.Streams, kind.Once = "k", 10, 100, 1, true, desk.OnceNever
 	kind.Expiry = settings.Default().Bounds.Recovery
 	b, err := json.Marshal(desk.File{Pools: []desk.Pool{{Name: "p", MinPrefill: 1, MinDecode: 1}}, Desks: []desk.Desk{{Name: "d", Pool: "p", Kinds: []desk.Kind{kind}}}})
@@ -142,13 +190,16 @@
 	file, faults := desk.Parse(b)
 	So(faults, ShouldBeEmpty)
 	w.file = file
-	book := explain.NewBook(1)
-	s := New(Joined{
+	return New(Joined{
 		Settings: settings.Default(), Log: event.New(&log.Logger{Handler: memory.New(), Level: log.ErrorLevel}), Clock: w, Fleet: w,
 		Engines: w, Gate: gate.New(w), Book: book, Speech: w,
 	})
+}
+
+func (w *world) serve(kind desk.Kind, stream bool) (*heard, explain.Record) {
+	book := explain.NewBook(1)
 	h := &heard{}
-	s.Serve(&Ask{ID: "a", Facts: desk.Facts{Model: "d"}, Stream: stream}, h)
+	w.path(kind, book).Serve(&Ask{ID: "a", Facts: desk.Facts{Model: "d"}, Stream: stream}, h)
 	So(w.taken, ShouldEqual, 0)
 	record, _ := book.Find("a")
 	// What was decided here is decided alike from the record.
@@ -182,6 +233,41 @@
 		So(h.end, ShouldEqual, "break")
 		So(w.spends, ShouldEqual, 2)
 	})
+	Convey("a stream whose last piece has no id is not taken up again: that piece would come twice", t, func() {
+		w := &world{write: func(int, Go) (Reply, error) {
+			return Reply{Head: Head{Status: 200}, HandOver: -1, Pieces: &unnumbered{pieces{1, 3, errCut}}}, nil
+		}}
+		h, _ := w.serve(desk.Kind{Resume: true}, true)
+		So(h.text, ShouldEqual, "1 2 3 ")
+		So(h.end, ShouldEqual, "break")
+		So(len(w.begun), ShouldEqual, 2)
+	})
+	Convey("a second go at an engine says so, so that it is not answered by the first one's late answer", t, func() {
+		var again []bool
+		w := &world{direct: true}
+		w.write = func(n int, g Go) (Reply, error) {
+			again = append(again, g.Again)
+			if n < 3 {
+				return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: engine.CodeBusy}
+			}
+			return stream(1, 1, io.EOF)
+		}
+		h, _ := w.serve(desk.Kind{Changing: true}, false)
+		So(h.end, ShouldEqual, "end")
+		So(again, ShouldResemble, []bool{false, true, true})
+	})
+	Convey("no try is run at more engines than its kind may be sent to, streams taken up again included", t, func() {
+		for most := 1; most <= 4; most++ {
+			w, runs := &world{direct: true}, 0
+			w.write = func(n int, g Go) (Reply, error) {
+				runs++
+				return stream(runs, runs, errCut)
+			}
+			h, _ := w.serve(desk.Kind{Resume: true, Goes: most}, true)
+			So(h.end, ShouldEqual, "break")
+			So(runs, ShouldEqual, most)
+		}
+	})
 	Convey("a stream of another kind is broken off", t, func() {
 		w := &world{write: func(int, Go) (Reply, error) { return stream(1, 3, errCut) }}
 		h, _ := w.serve(desk.Kind{}, true)
@@ -213,6 +299,16 @@
 		So(len(record.Goes), ShouldEqual, 1)
 		So(w.spends, ShouldEqual, 0)
 	})
+	Convey("a go whose engine has no turn for it is not sent: its reservation is given back, and another one made", t, func() {
+		w := &world{write: func(int, Go) (Reply, error) { return stream(1, 2, io.EOF) }}
+		w.turns = func(_ string, n int) bool { return n == 2 || n == 4 }
+		h, record := w.serve(desk.Kind{Goes: 1}, false)
+		So(h, ShouldResemble, &heard{text: "1 2 ", end: "end", begins: 1})
+		So(w.begun, ShouldResemble, []string{"read r", "write after "})
+		So(w.asked, ShouldEqual, 4)
+		So(w.spends, ShouldEqual, 0)
+		So(record.Pairs, ShouldHaveLength, 3)
+	})
 	Convey("memory that no writer took is let go of", t, func() {
 		w := &world{write: func(int, Go) (Reply, error) {
 			return Reply{}, &verdict.Error{Verdict: verdict.NotRun, Code: engine.CodeInput}
@@ -233,4 +329,35 @@
 		So(h, ShouldResemble, &heard{text: "7 8 ", end: "end", begins: 1})
 		So(w.spends, ShouldEqual, 1)
 	})
+	Convey("a read that an engine ran and failed gives no memory: nothing writes from it", t, func() {
+		w := &world{write: func(int, Go) (Reply, error) { return stream(1, 1, io.EOF) }}
+		w.read = func(n int) error {
+			if n == 1 {
+				return &verdict.Error{Verdict: verdict.Ran, Status: 500, Code: engine.CodeBad}
+			}
+			return nil
+		}
+		h, _ := w.serve(desk.Kind{}, false)
+		So(h.end, ShouldEqual, "end")
+		So(w.begun, ShouldResemble, []string{"read r", "read r", "write after "})
+	})
+	Convey("an engine's own failure is a failure, and nothing takes it for a reply", t, func() {
+		for _, changing := range []bool{true, false} {
+			w := &world{direct: true}
+			w.write = func(n int, g Go) (Reply, error) {
+				if n == 1 {
+					return Reply{}, &verdict.Error{Verdict: verdict.Ran, Status: 500, Code: engine.CodeBad}
+				}
+				return stream(7, 8, io.EOF)
+			}
+			h, _ := w.serve(desk.Kind{Changing: changing}, false)
+			if changing {
+				So(h.end, ShouldEqual, "fail")
+				So(h.fault.Verdict, ShouldNotEqual, verdict.NotRun)
+				So(len(w.begun), ShouldEqual, 1)
+			} else {
+				So(h, ShouldResemble, &heard{text: "7 8 ", end: "end", begins: 1})
+			}
+		}
+	})
 }
