A disk that recovers while its node leaves stays out of the table

Cause: the node of a disk that recovered said at once that it serves it, a node that leaves too, whose disk then kept its vote. It also held its comparisons for done. Change: not while the node leaves; it compares itself with each voter again.

--- a/core/disk.go
+++ b/core/disk.go
@@ -55,8 +55,11 @@
 	took := c.ports.Now() - c.recovery.began
 	c.ports.Say(event.DiskRecovered, event.Fields{"tries": c.recovery.tries, "took_ms": took.Milliseconds()})
 	c.recovery = recovery{}
-	c.Member.SetDisk(c.Acceptor.Identity())
+	if !c.retiring {
+		c.Member.SetDisk(c.Acceptor.Identity())
+	}
 	c.tellDisk(c.Holder.Set())
+	c.mend.compared = nil
 	c.mend.due = 0 // it has missed what was written meanwhile
 }
 
