--- a/link/link.go
+++ b/link/link.go
@@ -340,6 +340,7 @@
 
 // took puts a connection into use.
 func (l *Link) took(to string, conn net.Conn) {
+	EndUnacknowledged(conn, l.timeout)
 	l.hold(conn)
 	l.mu.Lock()
 	l.out[to] = outgoing{conn: conn}
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -106,14 +106,14 @@
 	then(nil)
 }
 
-func (l *modelLog) Barrier(then func(error)) { then(nil) }
-
-// Recover writes the whole state anew: it stands in the place of every record.
+// Recover writes the whole state anew, at once.
 func (l *modelLog) Recover(state []Message, then func(error)) {
-	l.durable, l.waiting = slices.Clone(state), nil
+	l.durable, l.waiting, l.replies = state, nil, nil
 	then(nil)
 }
 
+func (l *modelLog) Barrier(then func(error)) { then(nil) }
+
 func (l *modelLog) clone() *modelLog {
 	return &modelLog{
 		async: l.async, durable: slices.Clone(l.durable), waiting: slices.Clone(l.waiting),
@@ -639,6 +639,9 @@
 	if len(d.log.waiting) > 0 {
 		add("sync "+d.addr, func() { m.sync(d) })
 	}
+	if d.acceptor.State() == DiskSuspect {
+		add("recovery of "+d.addr, func() { d.acceptor.Recover(func(error) {}) })
+	}
 }
 
 func (m *model) diskFaults(d *modelDisk, add func(string, func())) {
@@ -725,9 +728,7 @@
 
 // kill ends the process, and its system still writes what waited.
 func (m *model) kill(d *modelDisk) {
-	if d.acceptor.Trusted() {
-		d.log.durable = append(d.log.durable, d.log.waiting...)
-	}
+	d.log.durable = append(d.log.durable, d.log.waiting...)
 	d.log.waiting, d.log.replies = nil, nil
 	m.restart(d)
 }
@@ -804,9 +805,7 @@
 		if d.lost {
 			continue
 		}
-		if !d.acceptor.Trusted() {
-			m.restart(d)
-		}
+		d.acceptor.Recover(func(error) {})
 	}
 	m.settle(func() bool { return m.still() })
 	if why := m.Fault(); why != "" {
