--- a/bench/callers/callers.go
+++ b/bench/callers/callers.go
@@ -20,8 +20,8 @@
 
 	"linedrum.example/linedrum/bench/audit"
 	"linedrum.example/linedrum/bench/standin"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/verdict"
 )
 
@@ -60,7 +60,7 @@
 			_ = res.Body.Close()
 			c.saw(out.Window)
 		}
-		if !crew.Pause(ctx, 20*time.Millisecond) {
+		if !lifecycle.Pause(ctx, 20*time.Millisecond) {
 			return name
 		}
 	}
--- a/bench/callers/mix.go
+++ b/bench/callers/mix.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"linedrum.example/linedrum/bench/audit"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Stream is one kind of caller at one rate.
@@ -52,7 +52,7 @@
 // calls under way. Arrivals are drawn from the seed.
 func (m Mix) Run(ctx context.Context, consumer *Consumer, span time.Duration) {
 	var calls atomic.Int64
-	work := crew.New(ctx)
+	work := lifecycle.New(ctx)
 	drawn := rand.New(rand.NewPCG(m.Seed, 17))
 	for si, s := range m.Streams {
 		shared := strings.Repeat(fmt.Sprintf("rule %d of %s holds for all. ", si, s.Desk), s.Shared/20+1)[:s.Shared]
@@ -66,7 +66,7 @@
 				if next >= span {
 					return
 				}
-				if !crew.Pause(ctx, next-time.Since(began)) {
+				if !lifecycle.Pause(ctx, next-time.Since(began)) {
 					return
 				}
 				id := calls.Add(1)
@@ -99,14 +99,14 @@
 		case s.Once && rec.Status == 200 && rec.Repeat == "" && pick%8 == 0:
 			// A caller that is not sure whether it has sent its check sends it again,
 			// seconds later and anywhere.
-			if !crew.Pause(ctx, time.Duration(pick>>32%12)*time.Second) {
+			if !lifecycle.Pause(ctx, time.Duration(pick>>32%12)*time.Second) {
 				return
 			}
 			continue
 		case !s.Once || rec.Status == 200 || rec.Status == 409 && rec.Code == "ran-before":
 			return
 		}
-		if !crew.Pause(ctx, time.Second) {
+		if !lifecycle.Pause(ctx, time.Second) {
 			return
 		}
 	}
--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -15,7 +15,7 @@
 	"linedrum.example/linedrum/bench/callers"
 	"linedrum.example/linedrum/bench/fleet"
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Run is one drill under way.
@@ -131,7 +131,7 @@
 	failed := make(chan error, 1)
 	r.Fleet.Crew().Start(func(context.Context) {
 		for _, s := range steps {
-			crew.Pause(ctx, time.Until(r.began.Add(s.At)))
+			lifecycle.Pause(ctx, time.Until(r.began.Add(s.At)))
 			r.Say("%s", s.What)
 			if err := s.Do(r); err != nil {
 				failed <- fmt.Errorf("%s: %w", s.What, err)
--- a/bench/drill/trouble.go
+++ b/bench/drill/trouble.go
@@ -11,7 +11,7 @@
 	"linedrum.example/linedrum/bench/callers"
 	"linedrum.example/linedrum/bench/fleet"
 	"linedrum.example/linedrum/bench/standin"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // refuse has half of the engines bounce every call, or be well.
@@ -53,7 +53,7 @@
 		for i := range 8 {
 			steps = append(steps, at(0.05+0.1*float64(i), span, fmt.Sprintf("race %d", i), func(r *Run) error {
 				var status [2]int
-				race := crew.New(context.Background())
+				race := lifecycle.New(context.Background())
 				for j := range 2 {
 					n := r.Fleet.Nodes[(i+j*3)%len(r.Fleet.Nodes)]
 					race.Start(func(context.Context) {
@@ -79,7 +79,7 @@
 		var steps []Step
 		for i := range 3 {
 			steps = append(steps, at(0.2+0.25*float64(i), span, "a crowd of 400 checks", func(r *Run) error {
-				all := crew.New(context.Background())
+				all := lifecycle.New(context.Background())
 				shared := strings.Repeat("the crowd's own long policy. ", 250)
 				for j := range 400 {
 					all.Start(func(ctx context.Context) {
--- a/bench/drill/virtual_test.go
+++ b/bench/drill/virtual_test.go
@@ -22,7 +22,7 @@
 	"linedrum.example/linedrum/bench/audit"
 	"linedrum.example/linedrum/bench/callers"
 	"linedrum.example/linedrum/bench/fleet"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // deployments are the brief's two, with their callers.
@@ -43,7 +43,7 @@
 		logs = r.Fleet.Logs(30)
 		r.Stop()
 		// What the killed processes still wait for runs out.
-		crew.Pause(context.Background(), 5*time.Minute)
+		lifecycle.Pause(context.Background(), 5*time.Minute)
 	})
 	return res, logs, err
 }
@@ -157,7 +157,7 @@
 		if r, err = Begin(spec, "", fleet.NewMemory(1), io.Discard); err != nil {
 			return
 		}
-		defer crew.Pause(context.Background(), 5*time.Minute)
+		defer lifecycle.Pause(context.Background(), 5*time.Minute)
 		defer r.Stop()
 		n := r.Fleet.Nodes[4]
 		_, people := fleet.Desks(spec)
@@ -178,9 +178,9 @@
 		_, _ = whole(replies)
 		_, _ = stream.Peek(1) // the stream has begun
 		began := time.Now()
-		stopped := crew.New(context.Background())
+		stopped := lifecycle.New(context.Background())
 		stopped.Start(func(context.Context) { _ = r.Fleet.StopNode(n) })
-		crew.Pause(context.Background(), 100*time.Millisecond)
+		lifecycle.Pause(context.Background(), 100*time.Millisecond)
 		send(kept, people, 1)
 		last, _ = whole(replies)
 		_, _ = replies.ReadByte()
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -17,9 +17,9 @@
 
 	"linedrum.example/linedrum/bench/audit"
 	"linedrum.example/linedrum/bench/standin"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Spec is the shape of a deployment.
@@ -77,7 +77,7 @@
 	Book    *audit.Book[audit.EngineRecord]
 	Control *audit.Book[audit.ControlRecord]
 	Callers *audit.Book[audit.CallerRecord]
-	crew    *crew.Crew
+	crew    *lifecycle.Crew
 	mu      sync.Mutex
 	serial  uint64
 	leaving map[string]bool
@@ -89,7 +89,7 @@
 func New(spec Spec, folder string, ground Ground) (*Fleet, error) {
 	f := &Fleet{Spec: spec, Ground: ground, leaving: map[string]bool{}, client: standin.Client(ground.Net(""))}
 	f.client.Timeout = 15 * time.Second
-	f.crew = crew.New(context.Background())
+	f.crew = lifecycle.New(context.Background())
 	path := func(name string) string {
 		if folder == "" {
 			return ""
@@ -266,7 +266,7 @@
 }
 
 // Crew starts goroutines for drills.
-func (f *Fleet) Crew() *crew.Crew { return f.crew }
+func (f *Fleet) Crew() *lifecycle.Crew { return f.crew }
 
 // Start brings all engines and nodes up.
 func (f *Fleet) Start() error {
--- a/bench/fleet/memory.go
+++ b/bench/fleet/memory.go
@@ -12,8 +12,8 @@
 
 	"linedrum.example/linedrum/bench/process"
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/node"
 	"linedrum.example/linedrum/settings"
@@ -25,7 +25,7 @@
 type Memory struct {
 	Network *virtual.Net
 	seed    uint64
-	crew    *crew.Crew
+	crew    *lifecycle.Crew
 	callers *virtual.Machine
 
 	mu       sync.Mutex
@@ -39,7 +39,7 @@
 // NewMemory makes one. It must be made, used and ended inside one bubble.
 func NewMemory(seed uint64) *Memory {
 	g := &Memory{
-		Network: virtual.NewNet(seed), seed: seed, crew: crew.New(context.Background()),
+		Network: virtual.NewNet(seed), seed: seed, crew: lifecycle.New(context.Background()),
 		machines: map[string]*virtual.Machine{}, forms: map[int]uint16{}, disks: map[string]*virtual.Disk{}, logs: map[int]*process.Log{},
 	}
 	g.callers = g.Network.Add("callers")
--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -25,10 +25,10 @@
 	"linedrum.example/linedrum/bench/audit"
 	"linedrum.example/linedrum/bench/callers"
 	"linedrum.example/linedrum/bench/standin"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/node"
 	"linedrum.example/linedrum/once"
@@ -47,7 +47,7 @@
 	runs     *audit.Book[audit.EngineRecord]
 	calls    *audit.Book[audit.CallerRecord]
 	consumer *callers.Consumer
-	crew     *crew.Crew
+	crew     *lifecycle.Crew
 	keys     map[string]string
 }
 
@@ -72,7 +72,7 @@
  {"name":"people","pool":"p","kinds":[{"name":"person","expiry":"3s","queue":2,"streams":true,"max_tokens":2000},{"name":"hurried","expiry":"300ms","queue":0}]}]}`
 
 func begin(t *testing.T, pace standin.Pace, change func(*settings.Settings)) *bench {
-	b := &bench{t: t, logs: memory.New(), crew: crew.New(context.Background()), keys: map[string]string{}}
+	b := &bench{t: t, logs: memory.New(), crew: lifecycle.New(context.Background()), keys: map[string]string{}}
 	b.runs, _ = audit.NewBook[audit.EngineRecord]("")
 	b.calls, _ = audit.NewBook[audit.CallerRecord]("")
 	b.consumer = callers.New(b.calls, link.Sockets{})
@@ -310,7 +310,7 @@
 	// A short recovery bound, so that the engines' slow start is over soon.
 	b := begin(t, swift(), func(s *settings.Settings) { s.Bounds.Recovery = strict.Duration(2 * time.Second) })
 	Convey("many requests of one key at the same moment: one run, and all hear of it", t, func() {
-		threads := crew.New(context.Background())
+		threads := lifecycle.New(context.Background())
 		for range 20 {
 			threads.Start(func(context.Context) { b.ask("checks", "check", "same", 40, false) })
 		}
@@ -338,7 +338,7 @@
 		So(b.breaches(), ShouldBeEmpty)
 	})
 	Convey("what was proved not to have run frees its key", t, func() {
-		crowd := crew.New(context.Background())
+		crowd := lifecycle.New(context.Background())
 		// All slots taken: the keyed request waits, and may have to give up.
 		began := b.count(audit.EventRun, "decode")
 		b.await("the writer is nearly full", func() bool {
@@ -491,7 +491,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cuts := b.count(audit.EventCut, "decode")
 		began := b.count(audit.EventRun, "decode")
-		threads := crew.New(context.Background())
+		threads := lifecycle.New(context.Background())
 		threads.Start(func(context.Context) { b.askWith(ctx, "people", "person", "", 1400, true, "long") })
 		b.await("the stream has begun", func() bool { return b.count(audit.EventRun, "decode") > began })
 		cancel()
@@ -522,7 +522,7 @@
 		}
 		reads := b.count(audit.EventRun, "prefill")
 		lapsed := false
-		threads := crew.New(context.Background())
+		threads := lifecycle.New(context.Background())
 		threads.Start(func(ctx context.Context) {
 			// Forget everything as soon as the next prompt has been read.
 			b.await("a prompt is read", func() bool {
@@ -659,7 +659,7 @@
 		b.await("the node has begun to read", func() bool {
 			return strings.Contains(b.must(http.MethodGet, "/linedrum/counters", "", 200), `"requests.held":1`)
 		})
-		threads := crew.New(context.Background())
+		threads := lifecycle.New(context.Background())
 		threads.Start(func(context.Context) { b.node.Stop() })
 		b.await("the stop has begun", func() bool {
 			c, err := net.Dial("tcp", b.s.HTTP)
@@ -687,7 +687,7 @@
 		in := bufio.NewReader(conn)
 		_, err = in.Peek(1)
 		So(err, ShouldBeNil)
-		threads := crew.New(context.Background())
+		threads := lifecycle.New(context.Background())
 		threads.Start(func(context.Context) { b.node.Stop() })
 		res, err := http.ReadResponse(in, nil)
 		So(err, ShouldBeNil)
--- a/bench/platform/client.go
+++ b/bench/platform/client.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Load is all clients of a site.
@@ -66,7 +66,7 @@
 
 // Run has all clients ask for a while, and waits for the last answer.
 func (l *Load) Run(ctx context.Context, span time.Duration) {
-	group := crew.New(ctx)
+	group := lifecycle.New(ctx)
 	until := time.Now().Add(span)
 	for _, zone := range l.site.Spec.Zones {
 		for _, class := range l.site.Spec.Classes {
@@ -77,7 +77,7 @@
 						return
 					}
 					gap := time.Duration(-math.Log(1-l.draw()) / rate * float64(time.Second))
-					if time.Now().Add(gap).After(until) || !crew.Pause(ctx, gap) {
+					if time.Now().Add(gap).After(until) || !lifecycle.Pause(ctx, gap) {
 						return
 					}
 					group.Start(func(ctx context.Context) { l.request(ctx, zone, class) })
@@ -157,7 +157,7 @@
 		if rude {
 			wait = 0
 		}
-		if !again || !crew.Pause(ctx, wait) || time.Until(by) < 10*time.Millisecond {
+		if !again || !lifecycle.Pause(ctx, wait) || time.Until(by) < 10*time.Millisecond {
 			break
 		}
 	}
@@ -394,7 +394,7 @@
 				s.Evidence.add(func() { s.Evidence.Rough = append(s.Evidence.Rough, t) })
 			}
 		}
-		if !crew.Pause(ctx, gap) {
+		if !lifecycle.Pause(ctx, gap) {
 			return
 		}
 	}
@@ -433,7 +433,7 @@
 				s.Evidence.add(func() { s.Evidence.Tries = append(s.Evidence.Tries, t) })
 			})
 		}
-		if i < times-1 && !crew.Pause(ctx, 700*time.Millisecond) {
+		if i < times-1 && !lifecycle.Pause(ctx, 700*time.Millisecond) {
 			return
 		}
 	}
--- a/bench/platform/conn.go
+++ b/bench/platform/conn.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // line is one connection with a reader that watches it while nobody reads.
@@ -23,7 +23,7 @@
 func newLine(c net.Conn) *line { return &line{Conn: c, in: bufio.NewReader(c)} }
 
 // look has somebody wait for bytes or an end; lost is called at an end.
-func (l *line) look(c *crew.Crew, lost func()) {
+func (l *line) look(c *lifecycle.Crew, lost func()) {
 	l.watch = make(chan struct{})
 	l.lost.Store(false)
 	_ = l.SetReadDeadline(time.Time{})
--- a/bench/platform/cutoff_test.go
+++ b/bench/platform/cutoff_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // silence is how long an operator waits at one node.
@@ -101,15 +101,15 @@
 		if err := site.First(ctx, 9*time.Second); err != nil {
 			t.Fatal(err)
 		}
-		crew.Pause(ctx, 10*time.Second)
+		lifecycle.Pause(ctx, 10*time.Second)
 		c := &cutoff{Site: site, ctx: ctx}
 		a, b := site.Cores()[0], site.Cores()[1]
 		first = c.client(a, "no route", "nobody.example", "/nowhere/")
 
-		cuts := crew.New(ctx)
+		cuts := lifecycle.New(ctx)
 		defer cuts.Stop()
 		cuts.Start(func(ctx context.Context) { _ = site.Cut(ctx, []*Node{a}, site.Nodes(), false, 20*time.Second) })
-		crew.Pause(ctx, 3*time.Second)
+		lifecycle.Pause(ctx, 3*time.Second)
 		base, now := site.current(ctx)
 		newest = clone(now)
 		newest.Version = base + 1
@@ -117,7 +117,7 @@
 		fresh.Name, fresh.Path = "r-fresh", "/fresh/"
 		newest.Routes = append(newest.Routes, fresh)
 		acked = c.order(b, "a change", http.MethodPut, "/-/config", base, newest).status
-		crew.Pause(ctx, 3*time.Second)
+		lifecycle.Pause(ctx, 3*time.Second)
 		clients = append(clients, c.client(a, "a route that was added", fresh.Host, fresh.Path), c.client(a, "no route", "nobody.example", "/nowhere/"),
 			c.client(a, "a route of old", now.Routes[0].Host, now.Routes[0].Path))
 		readyAlone = c.told("ready", c.cloudIP, http.MethodGet, a.ready(), a.ready(), "/-/ready", nil, nil).status
@@ -126,7 +126,7 @@
 		if same(got.body, marshal(&newest)) {
 			readB = got.status
 		}
-		crew.Pause(ctx, 20*time.Second)
+		lifecycle.Pause(ctx, 20*time.Second)
 		rejoined = append(rejoined, c.client(a, "no route", "nobody.example", "/nowhere/"))
 		got = c.order(a, "GET", http.MethodGet, "/-/config", 0, nil)
 		if !same(got.body, marshal(&newest)) {
@@ -136,7 +136,7 @@
 
 		// Now no machine reaches a majority.
 		cuts.Start(func(ctx context.Context) { _ = site.Cut(ctx, site.Cores(), site.Nodes(), false, 40*time.Second) })
-		crew.Pause(ctx, 5*time.Second)
+		lifecycle.Pause(ctx, 5*time.Second)
 		for _, n := range []*Node{a, b, site.Nodes()[1]} {
 			none = append(none, c.orders(n, base+1, newest)...)
 			lost = c.client(n, "no route", "nobody.example", "/nowhere/")
--- a/bench/platform/day.go
+++ b/bench/platform/day.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/strict"
 )
 
@@ -135,15 +135,15 @@
 	if err := s.First(ctx, d.Lead.D()-time.Second); err != nil {
 		return Result{}, err
 	}
-	crew.Pause(ctx, d.Lead.D()-time.Since(began))
+	lifecycle.Pause(ctx, d.Lead.D()-time.Since(began))
 	res := Result{Day: d.Name, Unready: len(s.Nodes()) - s.Ready()}
 	began = time.Now()
-	steps := crew.New(ctx)
+	steps := lifecycle.New(ctx)
 	defer steps.Stop()
 	failed := make(chan error, len(d.Events)+1)
 	for _, e := range d.Events {
 		steps.Start(func(ctx context.Context) {
-			crew.Pause(ctx, e.At.D()-time.Since(began))
+			lifecycle.Pause(ctx, e.At.D()-time.Since(began))
 			s.Say("%6.2fs %s %s", time.Since(began).Seconds(), e.Kind, e.How)
 			if err := s.Do(ctx, load, e); err != nil {
 				failed <- fmt.Errorf("%s: %w", e.Kind, err)
@@ -155,7 +155,7 @@
 		// The load goes on through the recovery.
 		strikes := span
 		steps.Start(func(ctx context.Context) {
-			crew.Pause(ctx, strikes-time.Since(began))
+			lifecycle.Pause(ctx, strikes-time.Since(began))
 			if err := s.close(ctx, load, d.Closing); err != nil {
 				failed <- err
 			}
@@ -185,14 +185,14 @@
 // was sent, all processes are killed, or all machines lose power, and as many as may
 // be lost at once come back with empty disks.
 func (s *Site) close(ctx context.Context, l *Load, how string) error {
-	edit := crew.New(ctx)
+	edit := lifecycle.New(ctx)
 	defer edit.Stop()
 	edit.Start(func(ctx context.Context) { s.Edit(ctx, l, "idle") })
 	if how == "power_timed" {
 		s.mu.Lock()
 		after := time.Duration(5+s.random.IntN(395)) * time.Millisecond
 		s.mu.Unlock()
-		crew.Pause(ctx, after)
+		lifecycle.Pause(ctx, after)
 	} else {
 		edit.Wait()
 	}
@@ -200,13 +200,13 @@
 	if how == "wipe_acked" {
 		wiped = s.some(Event{Core: true, How: "acked", Count: s.Spec.LoseOne})
 	}
-	group := crew.New(ctx)
+	group := lifecycle.New(ctx)
 	defer group.Stop()
 	for _, n := range s.Nodes() {
 		group.Start(func(context.Context) { s.Kill(n, how != "kill_all") })
 	}
 	group.Wait()
-	crew.Pause(ctx, time.Second)
+	lifecycle.Pause(ctx, time.Second)
 	for _, n := range wiped {
 		s.Wipe(n)
 	}
@@ -338,7 +338,7 @@
 	for _, one := range some {
 		one.Set(t)
 	}
-	crew.Pause(ctx, e.For.D())
+	lifecycle.Pause(ctx, e.For.D())
 	for _, one := range some {
 		one.Set(Trouble{})
 	}
@@ -393,12 +393,12 @@
 	case "storm":
 		for range max(e.Count, 5) {
 			s.Edit(ctx, l, "idle")
-			crew.Pause(ctx, gap)
+			lifecycle.Pause(ctx, gap)
 		}
 	case "race":
 		for range max(e.Count, 1) {
 			s.Race(ctx, l)
-			crew.Pause(ctx, gap)
+			lifecycle.Pause(ctx, gap)
 		}
 	case "bad":
 		for i := range max(e.Count, 1) {
@@ -407,12 +407,12 @@
 				how = BadWays[i%len(BadWays)]
 			}
 			s.Bad(ctx, l, how)
-			crew.Pause(ctx, gap)
+			lifecycle.Pause(ctx, gap)
 		}
 	case "evacuate":
 		zone := s.zone(e)
 		s.Evacuate(ctx, zone, true)
-		crew.Pause(ctx, down)
+		lifecycle.Pause(ctx, down)
 		if e.How != "warm" {
 			s.chill(zone)
 		}
@@ -420,12 +420,12 @@
 	case "leave":
 		for _, one := range s.engines(Event{Count: max(e.Count, 1)}) {
 			s.Leave(one)
-			crew.Pause(ctx, gap)
+			lifecycle.Pause(ctx, gap)
 		}
 	case "release":
 		return s.Release(ctx, max(e.Count, 1), gap)
 	case "crash", "dark":
-		group := crew.New(ctx)
+		group := lifecycle.New(ctx)
 		defer group.Stop()
 		for _, one := range s.engines(Event{Count: max(e.Count, 1)}) {
 			group.Start(func(ctx context.Context) {
@@ -434,7 +434,7 @@
 					return
 				}
 				s.Crash(one)
-				crew.Pause(ctx, max(down, time.Duration(s.Spec.Bounds.ReuseAfter)*time.Second))
+				lifecycle.Pause(ctx, max(down, time.Duration(s.Spec.Bounds.ReuseAfter)*time.Second))
 				_, _ = s.Raise(one.Zone, one.Addr, one.Version, StageGenerate, true)
 			})
 		}
@@ -456,13 +456,13 @@
 	case "kill", "wipe", "herd":
 		some, release := s.hold(e)
 		defer release()
-		group := crew.New(ctx)
+		group := lifecycle.New(ctx)
 		defer group.Stop()
 		for _, n := range some {
 			group.Start(func(context.Context) { s.Kill(n, strings.Contains(e.How, "power")) })
 		}
 		group.Wait()
-		crew.Pause(ctx, down)
+		lifecycle.Pause(ctx, down)
 		for _, n := range some {
 			if e.Kind == "wipe" {
 				s.Wipe(n)
@@ -481,7 +481,7 @@
 			if err := s.Start(n); err != nil {
 				return err
 			}
-			crew.Pause(ctx, gap)
+			lifecycle.Pause(ctx, gap)
 		}
 	case "cut":
 		from := s.some(e)
@@ -528,7 +528,7 @@
 		return s.CutEngines(ctx, s.engines(e), down)
 	case "burst":
 		l.Burst(e.How, max(e.X, 1.5))
-		crew.Pause(ctx, down)
+		lifecycle.Pause(ctx, down)
 		l.Burst(e.How, 1)
 	}
 	return nil
--- a/bench/platform/disks.go
+++ b/bench/platform/disks.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // usualSync is how long a disk in memory takes for a sync, and slowDisk how many times
@@ -25,7 +25,7 @@
 		defer s.upset(n, "disk", false)()
 		defer upsetDisk(g.Disk(n), e)()
 	}
-	crew.Pause(ctx, e.For.D())
+	lifecycle.Pause(ctx, e.For.D())
 	return nil
 }
 
--- a/bench/platform/engine.go
+++ b/bench/platform/engine.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 )
 
@@ -70,7 +70,7 @@
 	service  *Service
 	pace     Pace
 	site     *Site
-	crew     *crew.Crew
+	crew     *lifecycle.Crew
 	listener net.Listener
 	wake     chan struct{}
 	began    time.Time
@@ -153,7 +153,7 @@
 	}
 	e := &Engine{
 		ID: id, Zone: zone, Region: s.Spec.Regions[zone], Addr: listener.Addr().String(), Version: version, service: service, pace: pace, site: s, listener: listener,
-		crew: crew.New(s.crew.Context()), wake: make(chan struct{}, 1), began: time.Now(), stage: stage,
+		crew: lifecycle.New(s.crew.Context()), wake: make(chan struct{}, 1), began: time.Now(), stage: stage,
 		random: rand.New(rand.NewPCG(s.Spec.Seed, hash(id))), conns: map[net.Conn]bool{}, kept: map[string]*keep{}, handles: map[string]*handle{},
 	}
 	if cold {
@@ -220,7 +220,7 @@
 			e.past = e.past[1:]
 		}
 		e.mu.Unlock()
-		if !crew.Pause(ctx, ms(e.pace.ReportLag/2)) {
+		if !lifecycle.Pause(ctx, ms(e.pace.ReportLag/2)) {
 			return
 		}
 	}
@@ -282,7 +282,7 @@
 				e.mu.Unlock()
 				_ = c.Close()
 			}()
-			crew.Pause(ctx, ms(e.pace.Handshake))
+			lifecycle.Pause(ctx, ms(e.pace.Handshake))
 			e.serve(ctx, newLine(c))
 		})
 	}
@@ -570,7 +570,7 @@
 		return more
 	}
 	if 1-dice >= t.Excess {
-		crew.Pause(e.crew.Context(), 30*time.Millisecond)
+		lifecycle.Pause(e.crew.Context(), 30*time.Millisecond)
 	}
 	_, err := fmt.Fprintf(l, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stray.0\r\nContent-Length: 5\r\n\r\nstray", HeaderAttempt, "f00d"+req.Header.Get(HeaderAttempt)[4:], HeaderSeal)
 	return err == nil
@@ -720,7 +720,7 @@
 	ev := e.site.Evidence
 	ev.add(func() { j.rec.Source, j.rec.Fetched = h.attempt, tokens; ev.Moved += tokens })
 	j.moved = true
-	return crew.Pause(ctx, time.Until(until))
+	return lifecycle.Pause(ctx, time.Until(until))
 }
 
 // drop lets go of a handle. Called under mu.
@@ -830,7 +830,7 @@
 			}
 			continue
 		}
-		if !crew.Pause(ctx, took) {
+		if !lifecycle.Pause(ctx, took) {
 			return
 		}
 		e.mu.Lock()
--- a/bench/platform/engine_test.go
+++ b/bench/platform/engine_test.go
@@ -13,7 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/bench/process"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/node"
 )
@@ -120,12 +120,12 @@
 		note("order", writer, "POST", "/-/order", `{"operation":"stage","stage":"prompt","holder":"h","fence":4,"expected":0}`)
 		note("switching", writer, "POST", "/x", "b", prompt("a8", "p:400", 3, HeaderStage, StagePrompt)...)
 		note("busy", writer, "POST", "/-/order", `{"operation":"stage","stage":"generate","holder":"h","fence":5}`)
-		crew.Pause(context.Background(), 2*time.Second)
+		lifecycle.Pause(context.Background(), 2*time.Second)
 		note("switched", writer, "POST", "/x", "b", prompt("a9", "p:400", 3, HeaderStage, StagePrompt)...)
 		note("in force", writer, "POST", "/-/order", `{"operation":"stage","stage":"prompt","holder":"h","fence":5}`)
-		crew.Pause(context.Background(), 200*time.Millisecond)
+		lifecycle.Pause(context.Background(), 200*time.Millisecond)
 		note("report", writer, "GET", "/-/report", "")
-		crew.Pause(context.Background(), 6*time.Second)
+		lifecycle.Pause(context.Background(), 6*time.Second)
 		note("lapsed", writer, "GET", "/-/report", "")
 		note("health", writer, "GET", "/health", "")
 	})
@@ -168,7 +168,7 @@
 			}
 			lines = append(lines, newLine(c))
 		}
-		crew.Pause(context.Background(), 50*time.Millisecond)
+		lifecycle.Pause(context.Background(), 50*time.Millisecond)
 		for _, l := range lines {
 			_, _ = fmt.Fprintf(l, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
 			if _, err := http.ReadResponse(l.in, nil); err != nil {
@@ -178,7 +178,7 @@
 			}
 			_ = l.Close()
 		}
-		crew.Pause(context.Background(), 50*time.Millisecond)
+		lifecycle.Pause(context.Background(), 50*time.Millisecond)
 		e.Set(Trouble{Cut: 1})
 		_, broken = s.says(e, "POST", "/x", "b", prompt("aaaa1", "p:4", 30)...)
 		e.Set(Trouble{Garbage: 1})
@@ -229,7 +229,7 @@
 		s.Leave(e)
 		look()
 		states = append(states, fmt.Sprint("at once ", listed))
-		crew.Pause(context.Background(), time.Second)
+		lifecycle.Pause(context.Background(), time.Second)
 		look()
 		for range 6 {
 			status, _, _, _ := s.ask(context.Background(), s.clientIP["hall-a"], "GET", s.cloud, "/servers", nil, nil)
@@ -238,7 +238,7 @@
 				break
 			}
 		}
-		crew.Pause(context.Background(), 8*time.Second)
+		lifecycle.Pause(context.Background(), 8*time.Second)
 		look()
 		states = append(states, fmt.Sprint("later ", listed))
 	})
--- a/bench/platform/ground.go
+++ b/bench/platform/ground.go
@@ -14,7 +14,7 @@
 	"linedrum.example/linedrum/bench/fleet"
 	"linedrum.example/linedrum/bench/process"
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/node"
 	"linedrum.example/linedrum/wire"
@@ -29,7 +29,7 @@
 	Lies    bool // the planted fault: its disks say that syncs are done, and they are not
 	seed    uint64
 	starter Starter
-	crew    *crew.Crew
+	crew    *lifecycle.Crew
 
 	mu       sync.Mutex
 	machines map[string]*virtual.Machine
@@ -41,7 +41,7 @@
 // NewMemory makes a ground in memory.
 func NewMemory(seed uint64, starter Starter) *Memory {
 	return &Memory{
-		Network: virtual.NewNet(seed), seed: seed, starter: starter, crew: crew.New(context.Background()),
+		Network: virtual.NewNet(seed), seed: seed, starter: starter, crew: lifecycle.New(context.Background()),
 		machines: map[string]*virtual.Machine{}, disks: map[string]*virtual.Disk{}, logs: map[string]*process.Log{},
 	}
 }
--- a/bench/platform/links.go
+++ b/bench/platform/links.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // errMemory is given where machines in memory are needed.
@@ -56,7 +56,7 @@
 		}
 	}
 	each(g.Network.Cut)
-	crew.Pause(ctx, span)
+	lifecycle.Pause(ctx, span)
 	each(g.Network.Mend)
 	for _, end := range ends {
 		end()
--- a/bench/platform/operator.go
+++ b/bench/platform/operator.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // operator is what the operator knows: the newest configuration that was taken.
@@ -85,7 +85,7 @@
 			return
 		}
 		at++
-		if !crew.Pause(ctx, pause) {
+		if !lifecycle.Pause(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, time.Second)
@@ -108,7 +108,7 @@
 		s.op.loses = share
 	}
 	set(share)
-	crew.Pause(ctx, span)
+	lifecycle.Pause(ctx, span)
 	set(0)
 }
 
@@ -273,7 +273,7 @@
 // Race makes two changes on top of one version at once.
 func (s *Site) Race(ctx context.Context, l *Load) {
 	base, now := s.current(ctx)
-	both := crew.New(ctx)
+	both := lifecycle.New(ctx)
 	for i := range 2 {
 		next := clone(now)
 		next.Version = s.version(2 + i)
@@ -337,7 +337,7 @@
 	began := time.Now()
 	for time.Since(began) < msOf(s.Spec.Bounds.InTouch)+500*time.Millisecond {
 		s.until(ctx, &Act{Kind: "read", Last: last}, http.MethodGet, "/-/config", nil, nil, msOf(s.Spec.Bounds.InTouch))
-		if !crew.Pause(ctx, 300*time.Millisecond) {
+		if !lifecycle.Pause(ctx, 300*time.Millisecond) {
 			return
 		}
 	}
--- a/bench/platform/reuse.go
+++ b/bench/platform/reuse.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // otherService is the one that takes the addresses of ended engines over.
@@ -13,13 +13,13 @@
 // Reuse has engines end for good; later their addresses are given to engines of
 // another service. They crash, or drain before, or fall silent (how).
 func (s *Site) Reuse(ctx context.Context, engines []*Engine, how string) error {
-	group := crew.New(ctx)
+	group := lifecycle.New(ctx)
 	defer group.Stop()
 	failed := make(chan error, len(engines))
 	for _, e := range engines {
 		group.Start(func(ctx context.Context) {
 			s.retire(ctx, e, how)
-			crew.Pause(ctx, time.Duration(s.Spec.Bounds.ReuseAfter)*time.Second)
+			lifecycle.Pause(ctx, time.Duration(s.Spec.Bounds.ReuseAfter)*time.Second)
 			other := s.Spec.Service
 			other.Name = otherService
 			if _, err := s.raise(other, e.Zone, e.Addr, e.Version, StageGenerate, true); err != nil {
@@ -43,7 +43,7 @@
 	case "drain":
 		s.Leave(e)
 		for _, over := e.now(); !over; _, over = e.now() {
-			if !crew.Pause(ctx, look) {
+			if !lifecycle.Pause(ctx, look) {
 				return
 			}
 		}
--- a/bench/platform/site.go
+++ b/bench/platform/site.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"linedrum.example/linedrum/bench/fleet"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 )
 
@@ -87,8 +87,8 @@
 	Spec     Spec
 	Evidence *Evidence
 	ground   Ground
-	crew     *crew.Crew
-	cleanup  crew.Cleanup
+	crew     *lifecycle.Crew
+	cleanup  lifecycle.Cleanup
 	cloud    string
 	cloudIP  string
 	clientIP map[string]string // of each zone
@@ -113,7 +113,7 @@
 // configuration is on its way.
 func Begin(spec Spec, ground Ground, say io.Writer) (_ *Site, err error) {
 	s := &Site{
-		Spec: spec, Evidence: &Evidence{}, ground: ground, crew: crew.New(context.Background()), say: say, clientIP: map[string]string{},
+		Spec: spec, Evidence: &Evidence{}, ground: ground, crew: lifecycle.New(context.Background()), say: say, clientIP: map[string]string{},
 		random: rand.New(rand.NewPCG(spec.Seed, 1)),
 	}
 	defer func() {
@@ -346,11 +346,11 @@
 	s.change(e, "draining", time.Now())
 	s.crew.Start(func(ctx context.Context) {
 		// It serves on until the list has shown it for drain_ms, and a little longer.
-		crew.Pause(ctx, s.Spec.Lag)
+		lifecycle.Pause(ctx, s.Spec.Lag)
 		e.mu.Lock()
 		e.draining = true
 		e.mu.Unlock()
-		crew.Pause(ctx, max(ms(e.pace.Leaves), msOf(s.Spec.Bounds.Drain)+time.Second))
+		lifecycle.Pause(ctx, max(ms(e.pace.Leaves), msOf(s.Spec.Bounds.Drain)+time.Second))
 		s.change(e, "gone", time.Now())
 		e.stop()
 	})
@@ -458,7 +458,7 @@
 			s.known = nodes
 			s.mu.Unlock()
 		}
-		if !crew.Pause(ctx, time.Second) {
+		if !lifecycle.Pause(ctx, time.Second) {
 			return
 		}
 	}
--- a/bench/platform/trouble.go
+++ b/bench/platform/trouble.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"linedrum.example/linedrum/bench/process"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // upset records trouble at a machine; the end is set later by what it gives back.
@@ -70,7 +70,7 @@
 func (s *Site) Freeze(ctx context.Context, n *Node, span time.Duration) {
 	end := s.upset(n, "freeze", false)
 	n.Process().Signal(syscall.SIGSTOP)
-	crew.Pause(ctx, span)
+	lifecycle.Pause(ctx, span)
 	n.Process().Signal(syscall.SIGCONT)
 	end()
 }
@@ -107,7 +107,7 @@
 			g.Network.Cut(g.Machine(b.IP), g.Machine(a.IP))
 		}
 	})
-	crew.Pause(ctx, span)
+	lifecycle.Pause(ctx, span)
 	each(func(a, b *Node) {
 		g.Network.Mend(g.Machine(a.IP), g.Machine(b.IP))
 		g.Network.Mend(g.Machine(b.IP), g.Machine(a.IP))
@@ -137,7 +137,7 @@
 		}
 	}
 	each(func(from, to string) { g.Network.Cut(g.Machine(from), g.Machine(to)) })
-	crew.Pause(ctx, span)
+	lifecycle.Pause(ctx, span)
 	each(func(from, to string) { g.Network.Mend(g.Machine(from), g.Machine(to)) })
 	for _, end := range ends {
 		end()
@@ -184,7 +184,7 @@
 	if err := first(); err != nil {
 		return err
 	}
-	crew.Pause(ctx, after)
+	lifecycle.Pause(ctx, after)
 	s.reseed()
 	if err := second(); err != nil {
 		return err
@@ -245,9 +245,9 @@
 		if _, err := s.Raise(e.Zone, "", "v2", stage, true); err != nil {
 			return err
 		}
-		crew.Pause(ctx, gap/2)
+		lifecycle.Pause(ctx, gap/2)
 		s.Leave(e)
-		crew.Pause(ctx, gap/2)
+		lifecycle.Pause(ctx, gap/2)
 	}
 	return nil
 }
@@ -259,7 +259,7 @@
 		g.Machine(ipOf(e.Addr)).Kill(true)
 	}
 	s.Crash(e)
-	crew.Pause(ctx, span)
+	lifecycle.Pause(ctx, span)
 	_, err := s.Raise(e.Zone, e.Addr, e.Version, StageGenerate, true)
 	return err
 }
--- a/bench/process/command.go
+++ b/bench/process/command.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"syscall"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Command is a process of a built program.
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	p := &Command{cmd: cmd, exited: make(chan struct{})}
-	crew.New(context.Background()).Start(func(context.Context) {
+	lifecycle.New(context.Background()).Start(func(context.Context) {
 		_ = cmd.Wait()
 		_ = out.Close()
 		close(p.exited)
--- a/bench/process/memory.go
+++ b/bench/process/memory.go
@@ -6,7 +6,7 @@
 	"syscall"
 
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Life is a running node of the system inside this process.
@@ -21,7 +21,7 @@
 type Memory struct {
 	machine *virtual.Machine
 	disk    *virtual.Disk // nil: it keeps nothing
-	crew    *crew.Crew
+	crew    *lifecycle.Crew
 	exited  chan struct{}
 
 	mu    sync.Mutex
@@ -33,7 +33,7 @@
 
 // StartMemory runs start on a machine, with a disk if there is one; a start that fails
 // ends the process with code 1.
-func StartMemory(c *crew.Crew, machine *virtual.Machine, disk *virtual.Disk, start func() (Life, error)) *Memory {
+func StartMemory(c *lifecycle.Crew, machine *virtual.Machine, disk *virtual.Disk, start func() (Life, error)) *Memory {
 	p := &Memory{machine: machine, disk: disk, crew: c, exited: make(chan struct{})}
 	c.Start(func(context.Context) { p.run(start) })
 	return p
--- a/bench/slope/fleet.go
+++ b/bench/slope/fleet.go
@@ -16,7 +16,7 @@
 	"linedrum.example/linedrum/bench/audit"
 	"linedrum.example/linedrum/bench/fleet"
 	"linedrum.example/linedrum/bench/standin"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/strict"
@@ -58,8 +58,8 @@
 
 type hollowFleet struct {
 	c       Config
-	crew    *crew.Crew
-	cleanup crew.Cleanup
+	crew    *lifecycle.Crew
+	cleanup lifecycle.Cleanup
 	procs   []*proc
 	nodes   []*hollow
 	folder  string
@@ -72,7 +72,7 @@
 
 // launch starts the processes; no node runs yet.
 func launch(c Config) (_ *hollowFleet, err error) {
-	f := &hollowFleet{c: c, crew: crew.New(context.Background()), client: standin.Client(link.Sockets{})}
+	f := &hollowFleet{c: c, crew: lifecycle.New(context.Background()), client: standin.Client(link.Sockets{})}
 	f.client.Timeout = c.real(patience)
 	defer func() {
 		if err != nil {
@@ -153,7 +153,7 @@
 		_ = p.cmd.Process.Kill()
 		<-ended
 	})
-	crew.New(context.Background()).Start(func(context.Context) {
+	lifecycle.New(context.Background()).Start(func(context.Context) {
 		defer close(ended)
 		p.read(out)
 		_ = p.cmd.Wait()
--- a/bench/slope/host.go
+++ b/bench/slope/host.go
@@ -17,8 +17,8 @@
 	"golang.org/x/sys/unix"
 
 	"linedrum.example/linedrum/boot"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/node"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/wal"
@@ -61,7 +61,7 @@
 
 // host runs hollow nodes in one process.
 type host struct {
-	crew *crew.Crew
+	crew *lifecycle.Crew
 	mu   sync.Mutex
 	runs map[int]*run
 	out  *json.Encoder
@@ -75,7 +75,7 @@
 
 // Host runs hollow nodes as its parent tells it on in, until in ends.
 func Host(in io.Reader, out io.Writer) error {
-	h := &host{crew: crew.New(context.Background()), runs: map[int]*run{}, out: json.NewEncoder(out)}
+	h := &host{crew: lifecycle.New(context.Background()), runs: map[int]*run{}, out: json.NewEncoder(out)}
 	orders := json.NewDecoder(in)
 	for {
 		var o order
--- a/bench/slope/slope.go
+++ b/bench/slope/slope.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"linedrum.example/linedrum/calot"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/settings"
 )
 
@@ -122,7 +122,7 @@
 	rows   []Row
 }
 
-func (r *measured) pause(d time.Duration) { crew.Pause(r.f.crew.Context(), r.f.c.real(d)) }
+func (r *measured) pause(d time.Duration) { lifecycle.Pause(r.f.crew.Context(), r.f.c.real(d)) }
 
 // window samples, does something, and samples again.
 func (r *measured) window(phase string, extra map[string]float64, during func() error) error {
@@ -405,7 +405,7 @@
 					return err
 				}
 				edits["in_force_most"] = max(edits["in_force_most"], took.Seconds())
-				crew.Pause(r.f.crew.Context(), r.f.c.real(2*time.Second)-time.Since(began))
+				lifecycle.Pause(r.f.crew.Context(), r.f.c.real(2*time.Second)-time.Since(began))
 			}
 			return nil
 		})
@@ -450,7 +450,7 @@
 						if err := r.event(rest[next[w+i/at%mine*at]], i); err != nil {
 							return err
 						}
-						crew.Pause(r.f.crew.Context(), r.f.c.real(2*time.Second)-time.Since(turn))
+						lifecycle.Pause(r.f.crew.Context(), r.f.c.real(2*time.Second)-time.Since(turn))
 					}
 					return nil
 				}()
--- a/bench/slope/yardstick.go
+++ b/bench/slope/yardstick.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // yardstick is a fixed piece of work, done twice a second beside a window: what
@@ -20,7 +20,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	block := make([]byte, 1<<20)
-	for crew.Pause(ctx, 500*time.Millisecond) {
+	for lifecycle.Pause(ctx, 500*time.Millisecond) {
 		before := threadTime()
 		sha256.Sum256(block)
 		y.spent.Add(threadTime() - before)
--- a/bench/standin/engine.go
+++ b/bench/standin/engine.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"linedrum.example/linedrum/bench/audit"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/verdict"
 )
@@ -90,7 +90,7 @@
 }
 
 // Start serves on an address of a network; port 0 lets the system give one.
-func Start(c *crew.Crew, network link.Network, name, site, pool, addr string, pace Pace, book *audit.Book[audit.EngineRecord]) (*Engine, error) {
+func Start(c *lifecycle.Crew, network link.Network, name, site, pool, addr string, pace Pace, book *audit.Book[audit.EngineRecord]) (*Engine, error) {
 	listener, err := network.Listen(addr)
 	if err != nil {
 		return nil, err
@@ -264,7 +264,7 @@
 		fresh = max(fresh-3*fresh/4, 1)
 	}
 	e.record(audit.EngineRecord{Event: audit.EventRun, Phase: engine.Prefill, Request: request, Run: run, Prompt: Digest(in.Prompt), Cached: cached, Bytes: len(in.Prompt), Decided: decided})
-	if !crew.Pause(ctx, e.pace.PerRead*time.Duration(fresh)/1000) {
+	if !lifecycle.Pause(ctx, e.pace.PerRead*time.Duration(fresh)/1000) {
 		e.record(audit.EngineRecord{Event: audit.EventCut, Phase: engine.Prefill, Request: request, Run: run})
 		panic(http.ErrAbortHandler)
 	}
@@ -333,7 +333,7 @@
 	if in.Memory["remote_site"] != e.Site {
 		delay += e.pace.PerHandOver
 	}
-	crew.Pause(ctx, delay)
+	lifecycle.Pause(ctx, delay)
 	return out.Prompt, nil
 }
 
@@ -369,7 +369,7 @@
 	}
 	var text strings.Builder
 	for i := range in.MaxTokens {
-		if !crew.Pause(ctx, e.pace.PerToken) || faults.CutAfter > 0 && i >= faults.CutAfter {
+		if !lifecycle.Pause(ctx, e.pace.PerToken) || faults.CutAfter > 0 && i >= faults.CutAfter {
 			cut()
 		}
 		token := Token(request, run, digest, i)
--- a/bench/virtual/days_test.go
+++ b/bench/virtual/days_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/once"
 	"linedrum.example/linedrum/quorum"
 	"linedrum.example/linedrum/register"
@@ -59,7 +59,7 @@
 	keys := 0
 	synctest.Test(t, func(*testing.T) {
 		disk := NewDisk()
-		work := crew.New(context.Background())
+		work := lifecycle.New(context.Background())
 		defer work.Stop()
 		folder := disk.Folder(NewNet(1).Add("here").Boot())
 		log, _, err := wal.Open(folder, 1<<30, nil)
@@ -102,7 +102,7 @@
 				state := a.Picture()
 				log.Cut(func() ([][]byte, error) { return pack(state) })
 			}
-			crew.Pause(context.Background(), time.Second)
+			lifecycle.Pause(context.Background(), time.Second)
 			if (second+1)%(minutes*15) == 0 {
 				held = append(held, disk.Size())
 			}
--- a/bench/virtual/disk.go
+++ b/bench/virtual/disk.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/wal"
 )
 
@@ -270,7 +270,7 @@
 	d := w.f.disk
 	upTo, delay := len(w.c.data), d.delay
 	d.mu.Unlock()
-	crew.Pause(context.Background(), delay)
+	lifecycle.Pause(context.Background(), delay)
 	if err := w.f.enter(); err != nil {
 		return err
 	}
--- a/bench/virtual/net.go
+++ b/bench/virtual/net.go
@@ -19,7 +19,7 @@
 	"syscall"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Net joins machines by IP number.
@@ -353,7 +353,7 @@
 		if tried {
 			// The way there and back, or a repeat of it.
 			n.mu.Unlock()
-			crew.Pause(ctx, 5*time.Millisecond)
+			lifecycle.Pause(ctx, 5*time.Millisecond)
 			n.mu.Lock()
 		}
 		for p.m.frozen && !p.gone() && ctx.Err() == nil {
--- a/bench/virtual/net_test.go
+++ b/bench/virtual/net_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // TestLimitPast ends blocked reads by a limit that is past already, as net/http does
@@ -57,7 +57,7 @@
 		atOnce = n.after(0, func() {}) == nil && n.after(-time.Second, func() {}) == nil
 		n.after(time.Millisecond, func() { later = true })
 		n.mu.Unlock()
-		crew.Pause(t.Context(), 2*time.Millisecond)
+		lifecycle.Pause(t.Context(), 2*time.Millisecond)
 	})
 	Convey("what is due already is done at once, without a timer", t, func() {
 		So(ended, ShouldEqual, 200)
--- a/bus/bus.go
+++ b/bus/bus.go
@@ -11,7 +11,7 @@
 	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
 	"github.com/juju/errors"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Topics.
@@ -23,12 +23,12 @@
 
 // Bus is safe for concurrent use.
 type Bus struct {
-	crew *crew.Crew
+	crew *lifecycle.Crew
 	pub  *gochannel.GoChannel
 }
 
 // New makes a bus; publishing never waits for whoever listens.
-func New(c *crew.Crew) *Bus {
+func New(c *lifecycle.Crew) *Bus {
 	return &Bus{c, gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: 1024}, watermill.NopLogger{})}
 }
 
--- a/cmd/linedrum/operators.go
+++ b/cmd/linedrum/operators.go
@@ -19,8 +19,8 @@
 
 	"github.com/google/subcommands"
 
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // target is the flag set shared by commands that speak to a node.
@@ -290,7 +290,7 @@
 func (c *statusCommand) everyone(members []member) map[string]string {
 	out := map[string]string{}
 	var mu sync.Mutex
-	asking := crew.New(context.Background())
+	asking := lifecycle.New(context.Background())
 	for _, m := range members {
 		if m.Departed {
 			continue
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/verdict"
 )
@@ -75,7 +75,7 @@
 func TestEvidence(t *testing.T) {
 	// What was read right now is good for 3/8 of the bound, counted from when it was asked.
 	scene(t, func(ctx context.Context, _ register.Request) register.Result {
-		crew.Pause(ctx, 100*time.Millisecond)
+		lifecycle.Pause(ctx, 100*time.Millisecond)
 		return prompt(ctx, register.Request{})
 	}, func(r *registers, c *Control) {
 		shown, fault := c.DeskInForce(context.Background())
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // Conns are the open connections of one server: Track is its ConnState. Safe for
@@ -66,7 +66,7 @@
 	c.mu.Lock()
 	c.stop = true
 	c.mu.Unlock()
-	crew.Every(ctx, max(idle/looksIdle, time.Millisecond), func() {
+	lifecycle.Every(ctx, max(idle/looksIdle, time.Millisecond), func() {
 		if c.look() == 0 {
 			cancel()
 		}
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -13,12 +13,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 func TestDrain(t *testing.T) {
 	Convey("a request that follows a reply from before the stop is served, and ends the connection", t, func() {
-		c := crew.New(context.Background())
+		c := lifecycle.New(context.Background())
 		defer c.Stop()
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
@@ -122,7 +122,7 @@
 // meets sends a request on a connection that is given up right after the process has
 // read it, and tells what came back: the connection's second request, or its first.
 func meets(hard, second bool) string {
-	c := crew.New(context.Background())
+	c := lifecycle.New(context.Background())
 	defer c.Stop()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
--- a/engine/consumer_test.go
+++ b/engine/consumer_test.go
@@ -14,7 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/verdict"
 )
 
@@ -41,7 +41,7 @@
 	return fmt.Sprintf("HTTP/1.1 %s x\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, HeaderRequest, id, more, len(body), body)
 }
 
-func startEngine(c *crew.Crew, next func(net.Conn, string)) *engineOf {
+func startEngine(c *lifecycle.Crew, next func(net.Conn, string)) *engineOf {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	e := &engineOf{addr: listener.Addr().String(), listener: listener, next: next, got: map[string]int{}}
@@ -111,7 +111,7 @@
 			}, verdict.MayHaveRun},
 			{"its own refusal", func(conn net.Conn, id string) { _, _ = io.WriteString(conn, answerOf(id, "503", notRun, "")) }, verdict.NotRun},
 		} {
-			group := crew.New(context.Background())
+			group := lifecycle.New(context.Background())
 			e := startEngine(group, c.next)
 			consumer := NewConsumer(sockets{}, time.Second, 1000)
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -137,7 +137,7 @@
 		}
 	})
 	Convey("planted: a request that net/http may rewind is sent twice after a reset", t, func() {
-		group := crew.New(context.Background())
+		group := lifecycle.New(context.Background())
 		e := startEngine(group, func(conn net.Conn, _ string) { _ = conn.Close() })
 		client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return sockets{}.Dial(ctx, addr) }}}
 		for _, id := range []string{"a1", "b2"} {
--- a/face/face.go
+++ b/face/face.go
@@ -17,10 +17,10 @@
 	"github.com/juju/errors"
 
 	"linedrum.example/linedrum/control"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/drain"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
@@ -144,13 +144,13 @@
 	bounds := f.settings.Bounds
 	ctx, cancel := context.WithTimeout(context.Background(), bounds.Drain.D())
 	defer cancel()
-	crew.Pause(ctx, bounds.InForce.D()/8)
+	lifecycle.Pause(ctx, bounds.InForce.D()/8)
 	f.conns.Close(ctx, bounds.InForce.D()/8)
 	_ = f.server.Shutdown(ctx)
 	// What was not read whole by now is given up; what was has its own expiry.
 	rest, done := context.WithCancel(context.Background())
 	defer done()
-	crew.Every(rest, bounds.InForce.D()/100, func() {
+	lifecycle.Every(rest, bounds.InForce.D()/100, func() {
 		if f.whole.Load() == 0 {
 			done()
 		}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -8,8 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/interleave"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 type hand struct{ now time.Duration }
@@ -245,7 +245,7 @@
 				grants++
 				return true
 			}
-			threads := crew.New(context.Background())
+			threads := lifecycle.New(context.Background())
 			for range 4 {
 				threads.Start(func(context.Context) {
 					w, ok, _ := s.g.Enter("a", 1, 4, time.Hour, try)
--- a/crew/crew.go
+++ b/lifecycle/crew.go
@@ -1,6 +1,6 @@
-// Package crew is the one place where goroutines are started (design.md section
+// Package lifecycle is the one place where goroutines are started (design.md section
 // 7.1): long duties, and pools of workers over bounded queues.
-package crew
+package lifecycle
 
 import (
 	"context"
--- a/crew/house_test.go
+++ b/lifecycle/house_test.go
@@ -1,4 +1,4 @@
-package crew
+package lifecycle
 
 import (
 	"go/ast"
@@ -17,7 +17,7 @@
 
 // timers are the files that may make timers: what they wait for is looked at first,
 // or a fixed share of a bound.
-var timers = map[string]bool{"../crew/crew.go": true, "../bench/virtual/net.go": true, "../link/link.go": true}
+var timers = map[string]bool{"../lifecycle/crew.go": true, "../bench/virtual/net.go": true, "../link/link.go": true}
 
 // TestHouse keeps the rules that a machine can keep: goroutines start in this
 // package alone, nothing sleeps, timers are made where they are looked at, no product package starts a process or acts on
@@ -55,7 +55,7 @@
 						SoMsg(set.Position(s.Pos()).String()+" reads the wall clock", true, ShouldBeFalse)
 					}
 				}
-				if g, ok := n.(*ast.GoStmt); ok && filepath.Base(filepath.Dir(path)) != "crew" {
+				if g, ok := n.(*ast.GoStmt); ok && filepath.Base(filepath.Dir(path)) != "lifecycle" {
 					SoMsg(set.Position(g.Pos()).String()+" starts a goroutine", true, ShouldBeFalse)
 				}
 				// A timer due at once kills a bubble under the race detector: they are made
--- a/crew/locks_test.go
+++ b/lifecycle/locks_test.go
@@ -1,4 +1,4 @@
-package crew
+package lifecycle
 
 import (
 	"fmt"
--- a/link/link.go
+++ b/link/link.go
@@ -16,7 +16,7 @@
 	"github.com/juju/errors"
 
 	"linedrum.example/linedrum/calot"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/wire"
 )
@@ -41,7 +41,7 @@
 	net     Network
 	udp     net.PacketConn
 	tcp     net.Listener
-	crew    *crew.Crew
+	crew    *lifecycle.Crew
 	handler Handler
 	timeout time.Duration
 
@@ -64,7 +64,7 @@
 
 // Open listens on one address for datagrams and connections. Messages are
 // written in a form that is this release's own.
-func Open(fleet string, form uint16, addr string, timeout time.Duration, c *crew.Crew, network Network) (*Link, error) {
+func Open(fleet string, form uint16, addr string, timeout time.Duration, c *lifecycle.Crew, network Network) (*Link, error) {
 	tcp, err := network.Listen(addr)
 	if err != nil {
 		return nil, errors.Annotate(err, "listen")
@@ -111,7 +111,7 @@
 			return
 		}
 		if err != nil {
-			crew.Pause(ctx, l.timeout/8) // a socket that keeps failing must not spin
+			lifecycle.Pause(ctx, l.timeout/8) // a socket that keeps failing must not spin
 			continue
 		}
 		m, err := wire.UnpackDatagram(l.fleet, buf[:n])
@@ -150,7 +150,7 @@
 			return
 		}
 		if err != nil {
-			crew.Pause(ctx, l.timeout/8)
+			lifecycle.Pause(ctx, l.timeout/8)
 			continue
 		}
 		l.hold(conn)
@@ -281,7 +281,7 @@
 			if conn == nil {
 				if conn = l.dial(ctx, to); conn == nil {
 					l.Counts.Dropped.Add(uint64(1 + drain(line)))
-					crew.Pause(ctx, l.timeout/32)
+					lifecycle.Pause(ctx, l.timeout/32)
 					break
 				}
 			}
@@ -345,7 +345,7 @@
 	l.out[to] = outgoing{conn: conn}
 	l.mu.Unlock()
 	l.crew.Start(func(ctx context.Context) {
-		if !crew.Pause(ctx, l.timeout) {
+		if !lifecycle.Pause(ctx, l.timeout) {
 			return
 		}
 		l.mu.Lock()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -10,7 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/calot"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/wire"
 )
@@ -79,7 +79,7 @@
 func (i inbox) Frame(m register.Message, _ wire.Cohort) { i <- m.Ask }
 func (i inbox) BadFrame(string, error)                  { _ = i }
 
-func begin(c *crew.Crew, network Network, timeout time.Duration) (*Link, inbox) {
+func begin(c *lifecycle.Crew, network Network, timeout time.Duration) (*Link, inbox) {
 	l, err := Open("f", wire.Form, "127.0.0.1:0", timeout, c, network)
 	So(err, ShouldBeNil)
 	in := make(inbox, lineDepth)
@@ -89,7 +89,7 @@
 
 func TestConnecting(t *testing.T) {
 	Convey("a swallowed try to connect does not keep a frame until it is given up", t, func() {
-		c := crew.New(context.Background())
+		c := lifecycle.New(context.Background())
 		defer c.Stop()
 		here, _ := begin(c, &dark{swallow: 2}, 800*time.Millisecond)
 		there, in := begin(c, Sockets{}, time.Second)
@@ -99,7 +99,7 @@
 		So(time.Since(began), ShouldBeLessThan, 800*time.Millisecond)
 	})
 	Convey("who connects anew is not spoken to over the connection of its former life", t, func() {
-		c := crew.New(context.Background())
+		c := lifecycle.New(context.Background())
 		defer c.Stop()
 		network := &dark{}
 		here, heard := begin(c, network, time.Second)
--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -16,10 +16,10 @@
 	"linedrum.example/linedrum/bus"
 	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
@@ -439,7 +439,7 @@
 func joinedNode(t *testing.T) (n *Node, end func()) {
 	s := settings.Default()
 	s.Fleet, s.Listen, s.HTTP, s.Site, s.Seeds = "f", "10.0.0.1:1", "10.0.0.1:2", "s", []string{"10.0.0.1:1"}
-	threads := crew.New(t.Context())
+	threads := lifecycle.New(t.Context())
 	n = &Node{settings: s, clock: fixed(time.Minute), rand: randv2.New(randv2.NewPCG(1, 2)), bus: bus.New(threads),
 		log: event.New(&log.Logger{Handler: discard.New()}), engines: newEngines("s", s.Bounds.Recovery.D(), true), settling: warmth.Settling{Lag: modelLag}}
 	n.core = core.New(s, nil, alone{ports{n}})
--- a/node/disk.go
+++ b/node/disk.go
@@ -8,8 +8,8 @@
 
 	"github.com/juju/errors"
 
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/wal"
 	"linedrum.example/linedrum/wire"
@@ -111,7 +111,7 @@
 		if damaged && n.awaitMajority(ctx) {
 			n.giveUpLog()
 		}
-		if !crew.Pause(ctx, pause) {
+		if !lifecycle.Pause(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, catchUp/8)
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	whole := false
-	crew.Every(ctx, n.settings.Bounds.CatchUp.D()/64, func() {
+	lifecycle.Every(ctx, n.settings.Bounds.CatchUp.D()/64, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if n.core != nil && n.core.Keeper.Held() {
--- a/node/disk_test.go
+++ b/node/disk_test.go
@@ -16,8 +16,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/bench/virtual"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/strict"
@@ -54,13 +54,13 @@
 
 // testFleet is three machines with disks, which are the seeds.
 type testFleet struct {
-	work     *crew.Crew
+	work     *lifecycle.Crew
 	machines []*testMachine
 	lives    uint64
 }
 
 func newTestFleet() *testFleet {
-	f := &testFleet{work: crew.New(context.Background())}
+	f := &testFleet{work: lifecycle.New(context.Background())}
 	network := virtual.NewNet(1)
 	var seeds []string
 	for i := range 3 {
@@ -80,7 +80,7 @@
 
 // start begins a life of each machine and waits until its node serves.
 func (f *testFleet) start(machines ...*testMachine) {
-	starting := crew.New(context.Background())
+	starting := lifecycle.New(context.Background())
 	for _, m := range machines {
 		f.lives++
 		random := rand.New(rand.NewPCG(7, f.lives))
@@ -116,7 +116,7 @@
 	f.work.Stop()
 }
 
-func pass(span time.Duration) { crew.Pause(context.Background(), span) }
+func pass(span time.Duration) { lifecycle.Pause(context.Background(), span) }
 
 // within waits until a condition holds.
 func within(limit time.Duration, holds func() bool) bool {
--- a/node/duty.go
+++ b/node/duty.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/tenure"
@@ -17,7 +17,7 @@
 
 // tickDuties does the duty of each pool's roles while this node has it.
 func (n *Node) tickDuties(ctx context.Context) {
-	crew.Every(ctx, n.settings.Bounds.InForce.D()/8, func() {
+	lifecycle.Every(ctx, n.settings.Bounds.InForce.D()/8, func() {
 		picture := n.newest()
 		n.windowsDuty(ctx)
 		if picture.Desk == nil {
--- a/node/engines.go
+++ b/node/engines.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/kept"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
@@ -489,7 +489,7 @@
 // pollEngines asks every listed engine for its load.
 func (n *Node) pollEngines(ctx context.Context) {
 	pool := n.crew.Pool(16, 1024)
-	crew.Every(ctx, n.settings.Bounds.Recovery.D()/24, func() {
+	lifecycle.Every(ctx, n.settings.Bounds.Recovery.D()/24, func() {
 		n.engines.place(n.fleetView())
 		for _, target := range n.engines.toPoll() {
 			if !pool.Submit(func(ctx context.Context) { n.poll(ctx, target) }) {
--- a/node/list.go
+++ b/node/list.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
@@ -48,7 +48,7 @@
 	}
 	timing := n.core.Fresh.Timing()
 	had := listing{calls: 1}
-	crew.Every(ctx, timing.Every/5, func() {
+	lifecycle.Every(ctx, timing.Every/5, func() {
 		n.mu.Lock()
 		now := n.clock.Now()
 		held := n.core.Hold(keyList) && n.core.Keeper.Held()
--- a/node/node.go
+++ b/node/node.go
@@ -16,12 +16,12 @@
 	"linedrum.example/linedrum/calot"
 	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/face"
 	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/ledger"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
@@ -38,10 +38,10 @@
 	log      *event.Log
 	host     Host
 	clock    Clock
-	crew     *crew.Crew
+	crew     *lifecycle.Crew
 	bus      *bus.Bus
 	link     *link.Link
-	cleanup  crew.Cleanup
+	cleanup  lifecycle.Cleanup
 
 	// mu is the core lock: the core is called under it, and it is held for short
 	// steps only. Order: gate, mu, engines, innermost locks (section 7.2).
@@ -117,7 +117,7 @@
 			n.cleanup.Run()
 		}
 	}()
-	n.crew = crew.New(context.Background())
+	n.crew = lifecycle.New(context.Background())
 	n.cleanup.Add(func() {
 		n.crew.Stop()
 		n.closeFolder()
@@ -217,7 +217,7 @@
 func (n *Node) awaitPermit() {
 	ctx, cancel := context.WithTimeout(n.crew.Context(), n.settings.Bounds.InForce.D())
 	defer cancel()
-	crew.Every(ctx, n.core.TickEvery(), func() {
+	lifecycle.Every(ctx, n.core.TickEvery(), func() {
 		if n.Permit() {
 			cancel()
 		}
@@ -239,7 +239,7 @@
 	bounds := n.settings.Bounds
 	retiring, cancel := context.WithTimeout(context.Background(), min(bounds.CatchUp.D(), bounds.Drain.D()*3/4))
 	defer cancel()
-	draining := crew.New(context.Background())
+	draining := lifecycle.New(context.Background())
 	for _, f := range n.faces {
 		draining.Start(func(context.Context) { f.Drain() })
 	}
@@ -258,7 +258,7 @@
 func (n *Node) awaitRetired(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	crew.Every(ctx, n.settings.Bounds.InForce.D()/100, func() {
+	lifecycle.Every(ctx, n.settings.Bounds.InForce.D()/100, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if n.core.Retired() {
@@ -270,7 +270,7 @@
 func (n *Node) awaitLeft() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Bounds.Recovery.D()/12)
 	defer cancel()
-	crew.Every(ctx, n.settings.Bounds.InForce.D()/100, func() {
+	lifecycle.Every(ctx, n.settings.Bounds.InForce.D()/100, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if n.core.Member.Left() {
@@ -281,7 +281,7 @@
 
 // tickCores drives everything that waits for time under the core lock.
 func (n *Node) tickCores(ctx context.Context) {
-	crew.Every(ctx, n.core.TickEvery(), func() {
+	lifecycle.Every(ctx, n.core.TickEvery(), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.awake.tick(n.clock.Now())
@@ -296,7 +296,7 @@
 // watchLink says now and then how many datagrams were dropped as damaged or foreign.
 func (n *Node) watchLink(ctx context.Context) {
 	var bad, foreign uint64
-	crew.Every(ctx, n.settings.Bounds.Recovery.D(), func() {
+	lifecycle.Every(ctx, n.settings.Bounds.Recovery.D(), func() {
 		b, f := n.link.Counts.BadDatagrams.Load(), n.link.Counts.ForeignDatagrams.Load()
 		if b != bad || f != foreign {
 			n.log.Say(event.DatagramBad, event.Fields{"damaged": b - bad, "foreign": f - foreign})
--- a/serve/pair.go
+++ b/serve/pair.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"time"
 
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/ledger"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/verdict"
 )
@@ -61,7 +61,7 @@
 	ctx, cancel := q.expiryContext()
 	defer cancel()
 	if move.Code == ledger.CodePermit {
-		crew.Pause(ctx, q.s.settings.Bounds.InForce.D()/40)
+		lifecycle.Pause(ctx, q.s.settings.Bounds.InForce.D()/40)
 		return nil
 	}
 	bound, left := q.kind.Queue, q.ledger.Expiry-q.s.clock.Now()
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -13,7 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 )
 
 // memory is a folder that loses what was not synced.
@@ -94,7 +94,7 @@
 func use(m Files, do func(l *Log)) {
 	l, _, err := Open(m, 1<<20, func([]byte) error { return nil })
 	So(err, ShouldBeNil)
-	c := crew.New(context.Background())
+	c := lifecycle.New(context.Background())
 	c.Start(l.Run)
 	do(l)
 	synctest.Wait()
@@ -244,7 +244,7 @@
 				l.Append([]byte("x"), func(error) { order = append(order, i) })
 			}
 			before := m.syncs
-			c := crew.New(context.Background())
+			c := lifecycle.New(context.Background())
 			c.Start(l.Run)
 			synctest.Wait()
 			So(m.syncs-before, ShouldEqual, 1)
