--- a/gate/gate.go
+++ b/admission/gate.go
@@ -1,7 +1,7 @@
-// Package gate holds the bounded queues of a node, one a kind of caller, and
+// Package admission holds the bounded queues of a node, one a kind of caller, and
 // lets the head of each in by turns, so that a crowd at one desk does not starve
 // the people at another (design.md section 5.3).
-package gate
+package admission
 
 import (
 	"sync"
--- a/gate/gate_test.go
+++ b/admission/gate_test.go
@@ -1,4 +1,4 @@
-package gate
+package admission
 
 import (
 	"context"
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"linedrum.example/linedrum/admission"
 	"linedrum.example/linedrum/bus"
 	"linedrum.example/linedrum/calot"
 	"linedrum.example/linedrum/control"
@@ -19,7 +20,6 @@
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/face"
-	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
@@ -63,7 +63,7 @@
 	}
 
 	engines  *engines
-	gate     *gate.Gate
+	gate     *admission.Gate
 	speech   serve.Speech
 	lister   serve.Lister // nil: the list is handed to the nodes
 	path     *serve.Server
@@ -143,7 +143,7 @@
 	}
 	n.engines = newEngines(s.Site, recovery, n.lister != nil)
 	n.engines.self = s.Listen
-	n.gate = gate.New(n.clock)
+	n.gate = admission.New(n.clock)
 	if err = bus.Subscribe(n.bus, bus.TopicRequest, n.counters.ended); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -5,11 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"linedrum.example/linedrum/admission"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
@@ -117,7 +117,7 @@
 	clock    Clock
 	fleet    Fleet
 	engines  Engines
-	gate     *gate.Gate
+	gate     *admission.Gate
 	book     *explain.Book
 	speech   Speech
 	manner   Manner
@@ -131,7 +131,7 @@
 	Clock    Clock
 	Fleet    Fleet
 	Engines  Engines
-	Gate     *gate.Gate
+	Gate     *admission.Gate
 	Book     *explain.Book
 	Speech   Speech
 }
--- a/serve/pair.go
+++ b/serve/pair.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"linedrum.example/linedrum/admission"
 	"linedrum.example/linedrum/engine"
-	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
@@ -69,7 +69,7 @@
 	if begun {
 		bound, left = 1<<20, 48*time.Hour // what has begun is not turned away by a queue, nor given up before its expiry
 	}
-	terms := gate.Terms{Share: q.kind.Share, Bound: bound, Left: left}
+	terms := admission.Terms{Share: q.kind.Share, Bound: bound, Left: left}
 	if aim := q.kind.Aim.D(); aim > 0 && !begun {
 		terms.Aim = max(aim-(q.s.clock.Now()-q.arrived), 1)
 		terms.Free = func() bool { return q.engines.Idle(q.pool, q.s.clock.Now()) }
@@ -95,7 +95,7 @@
 
 // awaitTurn waits for a place in the queue until ctx ends; false means that it did. What
 // has not begun keeps its place as long as there is a lease: without one it is not held.
-func (q *request) awaitTurn(ctx context.Context, w *gate.Waiter, begun bool) bool {
+func (q *request) awaitTurn(ctx context.Context, w *admission.Waiter, begun bool) bool {
 	for {
 		if begun {
 			return granted(ctx, w)
@@ -117,7 +117,7 @@
 const leaseTicks = 200
 
 // granted waits for a place until ctx ends; false means that it ended first.
-func granted(ctx context.Context, w *gate.Waiter) bool {
+func granted(ctx context.Context, w *admission.Waiter) bool {
 	select {
 	case <-w.Granted():
 		return true
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -12,11 +12,11 @@
 	"github.com/apex/log/handlers/memory"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"linedrum.example/linedrum/admission"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
@@ -192,7 +192,7 @@
 	w.file = file
 	return New(Joined{
 		Settings: settings.Default(), Log: event.New(&log.Logger{Handler: memory.New(), Level: log.ErrorLevel}), Clock: w, Fleet: w,
-		Engines: w, Gate: gate.New(w), Book: book, Speech: w,
+		Engines: w, Gate: admission.New(w), Book: book, Speech: w,
 	})
 }
 
