--- a/node/engines.go
+++ b/node/engines.go
@@ -10,9 +10,9 @@
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/kept"
 	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
+	"linedrum.example/linedrum/prefixcache"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/warmth"
@@ -38,11 +38,11 @@
 	ordering map[string]bool
 	duties   map[string]bool // pools whose roles are this node's duty
 	turn     int             // of the polls
-	kept     *kept.Book
-	gone     map[string]bool  // left or leaving by this node's own look, though not yet in force
-	notices  chan kept.Notice // of this node's goes, for the cohort
-	tick     time.Duration    // a snapshot is used for no longer
-	latest   *snapshot        // nil: something that it rests on has changed since
+	kept     *prefixcache.Book
+	gone     map[string]bool         // left or leaving by this node's own look, though not yet in force
+	notices  chan prefixcache.Notice // of this node's goes, for the cohort
+	tick     time.Duration           // a snapshot is used for no longer
+	latest   *snapshot               // nil: something that it rests on has changed since
 }
 
 // snapshot is the pairing's picture of the servers at a moment, without what they keep
@@ -83,7 +83,7 @@
 func newEngines(site string, recovery time.Duration, listing bool) *engines {
 	return &engines{
 		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6, tick: recovery / 1200,
-		kept: kept.New(), notices: make(chan kept.Notice, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
+		kept: prefixcache.New(), notices: make(chan prefixcache.Notice, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
 	}
 }
 
--- a/node/engines_test.go
+++ b/node/engines_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/engine"
-	"linedrum.example/linedrum/kept"
 	"linedrum.example/linedrum/pairing"
+	"linedrum.example/linedrum/prefixcache"
 	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 )
@@ -88,7 +88,7 @@
 			"a dropped report":    func() { e.Outdated("b") },
 			"a failed go":         func() { e.RestFor("b", now) },
 			"a finished go":       func() { e.Well("b") },
-			"a read":              func() { e.believe(kept.Notice{Server: "a", Takes: time.Second}, "p", now) },
+			"a read":              func() { e.believe(prefixcache.Notice{Server: "a", Takes: time.Second}, "p", now) },
 			"a leaving engine":    func() { e.takeAway(map[string]bool{"b": true}) },
 			"a picture":           func() { e.take(e.picture, now) },
 			"a chain kept (desk)": func() { e.Kept("p", "b", parts) },
--- a/node/reads.go
+++ b/node/reads.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"linedrum.example/linedrum/engine"
-	"linedrum.example/linedrum/kept"
 	"linedrum.example/linedrum/pairing"
+	"linedrum.example/linedrum/prefixcache"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/wire"
 )
@@ -39,7 +39,7 @@
 	if pair.Takes == 0 || len(parts) == 0 {
 		return
 	}
-	n := kept.NoticeOf(parts)
+	n := prefixcache.NoticeOf(parts)
 	n.Takes = pair.Takes
 	n.Server, n.Life = pair.Reader.Name, pair.Reader.Life
 	if pair.Direct {
@@ -61,14 +61,14 @@
 }
 
 // believe takes a notice in. Called under t.mu.
-func (t *engines) believe(n kept.Notice, pool string, now time.Duration) {
+func (t *engines) believe(n prefixcache.Notice, pool string, now time.Duration) {
 	t.latest = nil
 	t.kept.Take(n, t.memory(pool), now, func(server string) bool { return t.servers[server] != nil })
 }
 
 // told takes another node's notice.
 func (t *engines) told(payload []byte, now time.Duration) {
-	n, err := kept.DecodeNotice(payload)
+	n, err := prefixcache.DecodeNotice(payload)
 	if err != nil {
 		return
 	}
--- a/node/reads_test.go
+++ b/node/reads_test.go
@@ -8,7 +8,7 @@
 
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
-	"linedrum.example/linedrum/kept"
+	"linedrum.example/linedrum/prefixcache"
 	"linedrum.example/linedrum/serve"
 )
 
@@ -62,7 +62,7 @@
 		So(other.kept.Backlog("r", "", now), ShouldBeGreaterThan, 100*time.Millisecond)
 		So(other.kept.Tokens("w", "", parts), ShouldEqual, 9300)
 		other.told([]byte("not a notice"), now)
-		n := kept.NoticeOf(parts)
+		n := prefixcache.NoticeOf(parts)
 		n.Server = "nobody"
 		other.told(n.Encode(), now)
 		So(other.kept.Tokens("nobody", "", parts), ShouldEqual, 0)
--- a/pairing/day_test.go
+++ b/pairing/day_test.go
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/engine"
-	"linedrum.example/linedrum/kept"
+	"linedrum.example/linedrum/prefixcache"
 )
 
 // modelled is an engine by the users' sheet: it reads one prompt after the other, and
@@ -20,7 +20,7 @@
 	Server
 	reads, moves   float64 // until then, ms
 	waits, runs    []float64
-	keeps          *kept.Book
+	keeps          *prefixcache.Book
 	said, saidWait int
 }
 
@@ -62,7 +62,7 @@
 		if i < 4 {
 			role = engine.Prefill
 		}
-		e := &modelled{Server: server(fmt.Sprint("e", i), sites[i%3], role), keeps: kept.New()}
+		e := &modelled{Server: server(fmt.Sprint("e", i), sites[i%3], role), keeps: prefixcache.New()}
 		e.Load.Slots = 64
 		engines, byName[e.Name] = append(engines, e), e
 	}
@@ -79,11 +79,11 @@
 		return out
 	}
 	checks, queries := things("check", 4, 2520, 84, 3780), things("query", 40, 119, 158, 79)
-	var knows []*kept.Book
+	var knows []*prefixcache.Book
 	own := make([]map[string][]float64, 9)
 	for i := range own {
 		own[i] = map[string][]float64{}
-		knows = append(knows, kept.New())
+		knows = append(knows, prefixcache.New())
 	}
 	known, memory := map[string]bool{}, 295740
 	owed, waits, all := 0.0, []float64(nil), 0
@@ -152,7 +152,7 @@
 		first := reader.reads
 		reader.waits = append(reader.waits, first)
 		own[node][reader.Name] = append(own[node][reader.Name], first)
-		n := kept.NoticeOf(v.Parts)
+		n := prefixcache.NoticeOf(v.Parts)
 		n.Server, n.Life, n.Takes = reader.Name, "1", pair.Takes
 		cross := 0.0
 		if !pair.Direct {
--- a/kept/kept.go
+++ b/prefixcache/kept.go
@@ -1,8 +1,8 @@
-// Package kept is what one node believes that each engine keeps of prompts, and how
+// Package prefixcache is what one node believes that each engine keeps of prompts, and how
 // long it still reads: the chains of parts that this node had read or fetched there,
 // and those that other nodes tell of (design.md section 5.4). It is a belief, never a
 // promise: an engine that kept less reads more.
-package kept
+package prefixcache
 
 import (
 	"container/list"
--- a/kept/kept_test.go
+++ b/prefixcache/kept_test.go
@@ -1,4 +1,4 @@
-package kept
+package prefixcache
 
 import (
 	"fmt"
--- a/kept/notice.go
+++ b/prefixcache/notice.go
@@ -1,4 +1,4 @@
-package kept
+package prefixcache
 
 import (
 	"encoding/binary"
