--- a/face/caller.go
+++ b/httpapi/caller.go
@@ -1,4 +1,4 @@
-package face
+package httpapi
 
 import (
 	"context"
--- a/face/face.go
+++ b/httpapi/face.go
@@ -1,6 +1,6 @@
-// Package face is the project's own interface: callers' completions, and the
+// Package httpapi is the project's own interface: callers' completions, and the
 // operators' and the platform's endpoints (docs/interfaces.md sections 1 and 2).
-package face
+package httpapi
 
 import (
 	"bytes"
--- a/lifecycle/locks_test.go
+++ b/lifecycle/locks_test.go
@@ -189,7 +189,7 @@
 	}
 	Convey("locks are taken in the stated order, whatever is called under them", t, func() {
 		sources := map[string]any{}
-		for _, folder := range []string{"admission", "node", "serve", "face", "control", "link", "wal", "explain"} {
+		for _, folder := range []string{"admission", "node", "serve", "httpapi", "control", "link", "wal", "explain"} {
 			found, _ := filepath.Glob(filepath.Join("..", folder, "*.go"))
 			for _, path := range found {
 				if !strings.HasSuffix(path, "_test.go") {
--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,7 @@
 	"linedrum.example/linedrum/core"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/face"
+	"linedrum.example/linedrum/httpapi"
 	"linedrum.example/linedrum/ledger"
 	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/link"
@@ -101,7 +101,7 @@
 }
 
 // Own makes the project's own face, on the settings' http address.
-func Own(n *Node) (Face, error) { return face.New(n, n.path, n.Control), nil }
+func Own(n *Node) (Face, error) { return httpapi.New(n, n.path, n.Control), nil }
 
 // Start brings a node up on a host; Stop takes it down.
 func Start(s settings.Settings, log *event.Log, host Host, outside Outside) (_ *Node, err error) {
