--- a/speech/speech.go
+++ b/engineclient/speech.go
@@ -1,7 +1,7 @@
-// Package speech is the project's own way to speak to engines (docs/interfaces.md
+// Package engineclient is the project's own way to speak to engines (docs/interfaces.md
 // section 3), over package engine's consumer: the completions call with the memory's
 // name in it, load reports and role orders.
-package speech
+package engineclient
 
 import (
 	"bufio"
--- a/httpapi/caller.go
+++ b/httpapi/caller.go
@@ -10,9 +10,9 @@
 
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
+	"linedrum.example/linedrum/engineclient"
 	"linedrum.example/linedrum/once"
 	"linedrum.example/linedrum/serve"
-	"linedrum.example/linedrum/speech"
 	"linedrum.example/linedrum/strict"
 	"linedrum.example/linedrum/verdict"
 )
@@ -94,7 +94,7 @@
 
 // read makes an ask of a request that has arrived whole.
 func read(r *http.Request, body []byte, ask *serve.Ask) *verdict.Error {
-	want := &speech.Completion{}
+	want := &engineclient.Completion{}
 	if faults := strict.Load(body, want); len(faults) > 0 {
 		fault := serve.Bad(http.StatusBadRequest, "bad-field", faults[0].Place, "%s", faults[0].Reason)
 		fault.Cause = faults
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"linedrum.example/linedrum/calot"
 	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/core"
+	"linedrum.example/linedrum/engineclient"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/httpapi"
@@ -26,7 +27,6 @@
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
-	"linedrum.example/linedrum/speech"
 	"linedrum.example/linedrum/wal"
 	"linedrum.example/linedrum/warmth"
 	"linedrum.example/linedrum/wire"
@@ -136,7 +136,7 @@
 	n.makeCore()
 	n.budget = ledger.NewBudget(s.Bounds.RetryShare, s.Bounds.RetryExtra, s.Bounds.RetryWindow.D(), s.Size, n.clock.Now())
 	if n.speech == nil {
-		n.speech = speech.New(host.Net, s.Bounds.InForce.D()/4, int64(s.Limits.Body))
+		n.speech = engineclient.New(host.Net, s.Bounds.InForce.D()/4, int64(s.Limits.Body))
 	}
 	if c, ok := n.speech.(interface{ Close() }); ok {
 		n.cleanup.Add(c.Close)
