--- a/bench/virtual/days_test.go
+++ b/bench/virtual/days_test.go
@@ -80,7 +80,7 @@
 		reply := []byte(`{"choices":[{"index":0,"text":"` + strings.Repeat("yes ", 100) + `","finish_reason":"stop"}]}`)
 		write := func(key string, serial, count uint64, value []byte) {
 			epoch := register.Epoch{Count: count, Holder: "10.0.0.1:7000"}
-			say(register.Message{Kind: register.KindAccept, Key: key, Epoch: epoch, Cell: register.Cell{Epoch: epoch, Serial: serial, Op: "10.0.0.1:7000#0123456789abcdef", Value: value}})
+			say(register.Message{Kind: register.KindAccept, Key: key, Epoch: epoch, Cell: register.Entry{Epoch: epoch, Serial: serial, Op: "10.0.0.1:7000#0123456789abcdef", Value: value}})
 		}
 		var windows register.Windows
 		for second := range minutes * 60 {
--- a/control/control.go
+++ b/control/control.go
@@ -27,7 +27,7 @@
 	// Hurry has the permit renewed at once: something was written.
 	Hurry()
 	// Seen is what this node holds of a key now, without asking anybody.
-	Seen(key string) register.Cell
+	Seen(key string) register.Entry
 	// Awake tells that this node has run without a break for a moment; else what is
 	// read now may have lain in a socket, for nobody knows how long.
 	Awake() bool
@@ -88,7 +88,7 @@
 
 // Read reads one key through its holder: linearizable. The fault is not-run; without one
 // the evidence held when the read was done.
-func (c *Control) Read(ctx context.Context, key string) (Evidence[register.Cell], *verdict.Error) {
+func (c *Control) Read(ctx context.Context, key string) (Evidence[register.Entry], *verdict.Error) {
 	for ctx.Err() == nil {
 		asked := c.clock.Now()
 		res := c.registers.Do(ctx, register.Request{Key: key, Read: true, Patience: patienceBounds * c.inForce})
@@ -99,7 +99,7 @@
 			return e, nil
 		}
 	}
-	return Evidence[register.Cell]{}, noMajority()
+	return Evidence[register.Entry]{}, noMajority()
 }
 
 // StoredDesk is the newest desk file as a majority holds it.
@@ -180,7 +180,7 @@
 // none where there is nothing to change, and then the outcome is Done under the serial
 // that stands. An edit that comes between is no loss: the next value is derived from
 // that one; Conflict means that others kept coming between.
-func (c *Control) Change(ctx context.Context, key string, next func(register.Cell) []byte) (Outcome, *verdict.Error) {
+func (c *Control) Change(ctx context.Context, key string, next func(register.Entry) []byte) (Outcome, *verdict.Error) {
 	op := c.registers.OpID()
 	for range 4 {
 		shown, fault := c.Read(ctx, key)
@@ -219,7 +219,7 @@
 	began, seen := c.clock.Now(), siteState(c.registers.Seen(core.KeySites))
 	var now []string
 	late := false
-	out, fault := c.Change(ctx, core.KeySites, func(cell register.Cell) []byte {
+	out, fault := c.Change(ctx, core.KeySites, func(cell register.Entry) []byte {
 		next := siteState(cell)
 		late = ctx.Err() != nil || c.clock.Now()-began > c.inForce
 		turns := next.Empty[site] != empty
@@ -252,7 +252,7 @@
 		Reason: "the order may have been held up; send it again", RetryAfter: time.Second}
 }
 
-func siteState(cell register.Cell) engine.SiteState {
+func siteState(cell register.Entry) engine.SiteState {
 	state := engine.SiteState{}
 	_ = json.Unmarshal(cell.Value, &state)
 	if state.Empty == nil {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -28,7 +28,7 @@
 func (r *registers) OpID() string       { return "op" }
 
 // Seen implements Registers: no order has been heard of.
-func (r *registers) Seen(string) register.Cell { return register.Cell{} }
+func (r *registers) Seen(string) register.Entry { return register.Entry{} }
 
 // Awake implements Registers: no scene freezes the node before its order is read.
 func (r *registers) Awake() bool { return true }
@@ -51,12 +51,12 @@
 }
 
 // stored is the desk register's cell with one file in it.
-func stored() register.Cell {
+func stored() register.Entry {
 	value, err := desk.Stored{}.Next([]byte(`{}`), "first", 1).Encode()
 	if err != nil {
 		panic(err)
 	}
-	return register.Cell{Serial: 1, Value: value}
+	return register.Entry{Serial: 1, Value: value}
 }
 
 // silent is a majority that is cut away: nothing comes back before the caller gives up.
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -17,21 +17,21 @@
 // fleet is registers that are chosen at once, as several nodes reach them.
 type fleet struct {
 	now   time.Duration
-	cells map[string]register.Cell
+	cells map[string]register.Entry
 	ops   int
 }
 
 // node is one node's way there: what it knows may be old, and its operations may hang.
 type node struct {
 	fleet  *fleet
-	seen   map[string]register.Cell
+	seen   map[string]register.Entry
 	frozen bool   // lately
 	hold   func() // runs once, before the next operation
 }
 
-func newFleet() *fleet { return &fleet{now: time.Hour, cells: map[string]register.Cell{}} }
+func newFleet() *fleet { return &fleet{now: time.Hour, cells: map[string]register.Entry{}} }
 
-func (f *fleet) node() *node { return &node{fleet: f, seen: map[string]register.Cell{}} }
+func (f *fleet) node() *node { return &node{fleet: f, seen: map[string]register.Entry{}} }
 
 // renew brings what a node knows up to date, as its permit does.
 func (n *node) renew() *node {
@@ -53,7 +53,7 @@
 	if cell.Serial != req.Base {
 		return register.Result{Outcome: register.Conflict, Cell: cell}
 	}
-	cell = register.Cell{Serial: req.Base + 1, Op: req.Op, Value: req.Value}
+	cell = register.Entry{Serial: req.Base + 1, Op: req.Op, Value: req.Value}
 	n.fleet.cells[req.Key] = cell
 	return register.Result{Outcome: register.Done, Cell: cell}
 }
@@ -63,10 +63,10 @@
 	return fmt.Sprint(n.fleet.ops)
 }
 
-func (n *node) Hurry()                        {}
-func (n *node) Seen(key string) register.Cell { return n.seen[key] }
-func (n *node) Now() time.Duration            { return n.fleet.now }
-func (n *node) Awake() bool                   { return !n.frozen }
+func (n *node) Hurry()                         {}
+func (n *node) Seen(key string) register.Entry { return n.seen[key] }
+func (n *node) Now() time.Duration             { return n.fleet.now }
+func (n *node) Awake() bool                    { return !n.frozen }
 
 // order sends an evacuation, or takes it back, and tells whether it was acknowledged.
 func (n *node) order(empty bool) bool {
--- a/core/core.go
+++ b/core/core.go
@@ -31,7 +31,7 @@
 	// TableChanged hears of each change to the membership.
 	TableChanged(e calot.Entry, departed bool)
 	// Adopted hears of each control cell that comes in force on this node.
-	Adopted(key string, cell register.Cell)
+	Adopted(key string, cell register.Entry)
 }
 
 // Keys of the control state that every node holds a permit for (section 3.1).
@@ -398,7 +398,7 @@
 func (k keeping) Set() quorum.Set       { return k.c.Holder.Set() }
 func (k keeping) NewSet(set quorum.Set) { k.c.newSet(set) }
 func (k keeping) Settle(key string)     { k.c.settle(key) }
-func (k keeping) Adopt(key string, cell register.Cell) {
+func (k keeping) Adopt(key string, cell register.Entry) {
 	if key == KeyEngines {
 		k.c.Fresh.Holds(cell.Serial)
 	}
--- a/core/mend.go
+++ b/core/mend.go
@@ -111,7 +111,7 @@
 	// A long copy goes on as long as it makes progress.
 	c.mend.due = max(c.mend.due, c.ports.Now()+min(c.settings.Bounds.Recovery.D()/12, c.catchUp()/8))
 	mended := 0
-	for _, kc := range m.Cells {
+	for _, kc := range m.Entries {
 		if c.Acceptor.Mend(kc, c.joining(c.Holder.Set())) {
 			mended++
 		}
--- a/httpapi/ops.go
+++ b/httpapi/ops.go
@@ -201,7 +201,7 @@
 	}
 	var held engine.List
 	same := false
-	done, fault := f.control.Change(r.Context(), core.KeyEngines, func(cell register.Cell) []byte {
+	done, fault := f.control.Change(r.Context(), core.KeyEngines, func(cell register.Entry) []byte {
 		held = engine.List{}
 		_ = json.Unmarshal(cell.Value, &held)
 		if cell.Serial == 0 || list.Serial > held.Serial {
--- a/lease/fetch.go
+++ b/lease/fetch.go
@@ -11,7 +11,7 @@
 // fetch is a long value that a majority is known to hold, and that one disk is asked
 // for. It outlives the round that showed the cell, so that a thin line gets there.
 type fetch struct {
-	cell  register.Cell // wanted; with its value once it is there
+	cell  register.Entry // wanted; with its value once it is there
 	there bool
 	tries int
 	due   time.Duration
@@ -21,7 +21,7 @@
 const fetchAsk = 1 << 63
 
 // value gives the chosen cell with its value, or has it asked for.
-func (k *Keeper) value(set quorum.Set, key string, cell register.Cell) (register.Cell, bool) {
+func (k *Keeper) value(set quorum.Set, key string, cell register.Entry) (register.Entry, bool) {
 	f := k.fetches[key]
 	if f == nil || !f.cell.Same(cell) {
 		f = &fetch{cell: cell}
@@ -34,7 +34,7 @@
 	// One that shows the cell, another at each try; each node begins at its own.
 	var show []string
 	for _, d := range set.All() {
-		if kc, ok := k.replies[d.Identity][key]; ok && kc.Cell.Same(cell) {
+		if kc, ok := k.replies[d.Identity][key]; ok && kc.Entry.Same(cell) {
 			show = append(show, d.Addr)
 		}
 	}
@@ -45,7 +45,7 @@
 	_, _ = h.Write([]byte(k.self))
 	m := register.Message{
 		Kind: register.KindQuery, Ask: k.ask | fetchAsk, From: k.self, Set: quorum.Set{Serial: set.Serial},
-		Cells: []register.KeyCell{{Key: key}},
+		Entries: []register.KeyEntry{{Key: key}},
 	}
 	to := show[(int(h.Sum32()>>8)+f.tries)%len(show)]
 	if relays := k.ports.Relays(); f.tries > 1 && len(relays) > 0 {
@@ -63,9 +63,9 @@
 	if in.Kind != register.KindQueried || !in.Yes {
 		return
 	}
-	for _, kc := range in.Cells {
-		if f := k.fetches[kc.Key]; f != nil && !kc.Bare && kc.Cell.Same(f.cell) {
-			f.cell, f.there = kc.Cell, true
+	for _, kc := range in.Entries {
+		if f := k.fetches[kc.Key]; f != nil && !kc.Bare && kc.Entry.Same(f.cell) {
+			f.cell, f.there = kc.Entry, true
 		}
 	}
 	if k.open {
--- a/lease/interleave_test.go
+++ b/lease/interleave_test.go
@@ -86,11 +86,11 @@
 func (s *scene) Settle(string)     {}
 
 // Adopt judges: what comes in force must stand on a majority by then.
-func (s *scene) Adopt(_ string, cell register.Cell) {
+func (s *scene) Adopt(_ string, cell register.Entry) {
 	held := 0
 	for _, d := range s.disks {
-		d.Handle(register.Message{Kind: register.KindQuery, Set: quorum.Set{Serial: 1}, Cells: []register.KeyCell{{Key: "desk"}}}, func(r register.Message) {
-			if r.Cells[0].Cell.Serial >= cell.Serial {
+		d.Handle(register.Message{Kind: register.KindQuery, Set: quorum.Set{Serial: 1}, Entries: []register.KeyEntry{{Key: "desk"}}}, func(r register.Message) {
+			if r.Entries[0].Entry.Serial >= cell.Serial {
 				held++
 			}
 		})
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -27,7 +27,7 @@
 	// Settle asks the key's holder to finish a write that the disks disagree on.
 	Settle(key string)
 	// Adopt takes a cell that a majority holds.
-	Adopt(key string, cell register.Cell)
+	Adopt(key string, cell register.Entry)
 	// Relays are the nodes that may reach the disks where this one does not.
 	Relays() []string
 }
@@ -50,7 +50,7 @@
 	timing Timing
 
 	keys    []string
-	cells   map[string]register.Cell
+	cells   map[string]register.Entry
 	until   time.Duration
 	ask     uint64
 	sent    time.Duration // when the newest round was asked: what it shows is as old as that
@@ -58,10 +58,10 @@
 	again   time.Duration // when those that have not replied are asked once more
 	turn    int           // of the relays
 	open    bool
-	held    []register.KeyCell                     // of the keys, at the last ask
-	whole   bool                                   // a disk is there that does not know brief queries
-	fetches map[string]*fetch                      // long values that one disk is asked for
-	replies map[string]map[string]register.KeyCell // disk, key
+	held    []register.KeyEntry                     // of the keys, at the last ask
+	whole   bool                                    // a disk is there that does not know brief queries
+	fetches map[string]*fetch                       // long values that one disk is asked for
+	replies map[string]map[string]register.KeyEntry // disk, key
 	// Rounds counts permits asked for and granted.
 	Asked, Granted uint64
 }
@@ -71,7 +71,7 @@
 func New(self string, clock Clock, net Net, ports Ports, timing Timing, firstAsk uint64) *Keeper {
 	return &Keeper{
 		self: self, clock: clock, net: net, ports: ports, timing: timing,
-		ask: firstAsk, cells: map[string]register.Cell{}, fetches: map[string]*fetch{},
+		ask: firstAsk, cells: map[string]register.Entry{}, fetches: map[string]*fetch{},
 	}
 }
 
@@ -107,7 +107,7 @@
 func (k *Keeper) Longest() time.Duration { return k.timing.Permit }
 
 // Cell is what this node holds of a key.
-func (k *Keeper) Cell(key string) register.Cell { return k.cells[key] }
+func (k *Keeper) Cell(key string) register.Entry { return k.cells[key] }
 
 // Hurry renews at the next tick: something is known to have changed.
 func (k *Keeper) Hurry() { k.due = k.clock.Now() }
@@ -141,7 +141,7 @@
 	k.ask++
 	k.sent, k.due, k.open = now, now+k.timing.Renew, true
 	k.Asked++
-	k.replies = map[string]map[string]register.KeyCell{}
+	k.replies = map[string]map[string]register.KeyEntry{}
 	k.send(set)
 }
 
@@ -173,10 +173,10 @@
 	k.held = nil
 	for _, key := range k.keys {
 		cell := k.cells[key]
-		k.held = append(k.held, register.KeyCell{Key: key, Cell: register.Cell{Epoch: cell.Epoch, Serial: cell.Serial}, Bare: cell.Serial > 0})
+		k.held = append(k.held, register.KeyEntry{Key: key, Entry: register.Entry{Epoch: cell.Epoch, Serial: cell.Serial}, Bare: cell.Serial > 0})
 	}
 	if k.whole {
-		m.Cells = k.held
+		m.Entries = k.held
 	} else {
 		m.Brief(k.held)
 	}
@@ -223,7 +223,7 @@
 	if in.Kind != register.KindQueried || !set.Has(in.Disk) {
 		return true
 	}
-	had := map[string]register.KeyCell{}
+	had := map[string]register.KeyEntry{}
 	switch {
 	case in.Again:
 		// What a brief reply does not name is as it was asked.
@@ -236,7 +236,7 @@
 		k.Hurry()
 		return true
 	}
-	for _, kc := range in.Cells {
+	for _, kc := range in.Entries {
 		had[kc.Key] = kc
 	}
 	k.replies[in.Disk] = had
@@ -246,7 +246,7 @@
 
 // chosen finds the cell of a key that a majority of the disks holds alike. Any
 // later write that was answered with yes would show on one of them.
-func (k *Keeper) chosen(set quorum.Set, key string) (register.KeyCell, bool) {
+func (k *Keeper) chosen(set quorum.Set, key string) (register.KeyEntry, bool) {
 	for _, d := range set.All() {
 		mine, ok := k.replies[d.Identity][key]
 		if !ok {
@@ -254,31 +254,31 @@
 		}
 		if set.Majority(func(o string) bool {
 			theirs, ok := k.replies[o][key]
-			return ok && theirs.Cell.Same(mine.Cell)
+			return ok && theirs.Entry.Same(mine.Entry)
 		}) {
 			return mine, true
 		}
 	}
-	return register.KeyCell{}, false
+	return register.KeyEntry{}, false
 }
 
 func (k *Keeper) decide(set quorum.Set) {
-	found, lacking := map[string]register.KeyCell{}, false
+	found, lacking := map[string]register.KeyEntry{}, false
 	for _, key := range k.keys {
 		kc, ok := k.chosen(set, key)
 		if !ok {
 			return
 		}
-		if kc.Cell.Serial < k.cells[key].Serial {
+		if kc.Entry.Serial < k.cells[key].Serial {
 			return // never back to an older one (section 4.2)
 		}
-		if kc.Bare && !kc.Cell.Same(k.cells[key]) {
-			cell, had := k.value(set, key, kc.Cell)
+		if kc.Bare && !kc.Entry.Same(k.cells[key]) {
+			cell, had := k.value(set, key, kc.Entry)
 			if !had {
 				lacking = true
 				continue
 			}
-			kc.Cell, kc.Bare = cell, false
+			kc.Entry, kc.Bare = cell, false
 		}
 		found[key] = kc
 	}
@@ -289,10 +289,10 @@
 	before := k.keys
 	for _, key := range before {
 		kc := found[key]
-		if kc.Cell.Same(k.cells[key]) {
+		if kc.Entry.Same(k.cells[key]) {
 			continue
 		}
-		cell := kc.Cell
+		cell := kc.Entry
 		if kc.Bare {
 			cell.Value = k.cells[key].Value
 		}
--- a/node/cold_test.go
+++ b/node/cold_test.go
@@ -78,7 +78,7 @@
 // modelLook is a look at the list under way.
 type modelLook struct {
 	seen  []engine.Listed
-	base  register.Cell
+	base  register.Entry
 	view  sitesView
 	memo  *listing
 	until time.Duration
@@ -89,7 +89,7 @@
 	r        *rand.Rand
 	fault    planted
 	now      time.Duration
-	cells    map[string]register.Cell
+	cells    map[string]register.Entry
 	nodes    []*modelNode
 	holder   int
 	memo     *listing
@@ -106,10 +106,10 @@
 
 func (c modelClock) Now() time.Duration { return c.m.now }
 
-func (m *model) OpID() string                  { return "op" }
-func (m *model) Seen(key string) register.Cell { return m.cells[key] }
-func (m *model) Awake() bool                   { return true }
-func (m *model) Hurry()                        {}
+func (m *model) OpID() string                   { return "op" }
+func (m *model) Seen(key string) register.Entry { return m.cells[key] }
+func (m *model) Awake() bool                    { return true }
+func (m *model) Hurry()                         {}
 func (m *model) Do(_ context.Context, req register.Request) register.Result {
 	cell := m.cells[req.Key]
 	if req.Read {
@@ -118,7 +118,7 @@
 	if req.Base != cell.Serial {
 		return register.Result{Outcome: register.Conflict, Cell: cell}
 	}
-	cell = register.Cell{Serial: cell.Serial + 1, Value: req.Value}
+	cell = register.Entry{Serial: cell.Serial + 1, Value: req.Value}
 	m.cells[req.Key] = cell
 	return register.Result{Outcome: register.Done, Cell: cell}
 }
@@ -293,7 +293,7 @@
 
 // play is one course: the most that a cold engine got in a second, and all it got.
 func play(seed int64, fault planted) (most, all int) {
-	m := &model{r: rand.New(rand.NewSource(seed)), fault: fault, cells: map[string]register.Cell{}, memo: &listing{}, arrivals: map[string][]time.Duration{}}
+	m := &model{r: rand.New(rand.NewSource(seed)), fault: fault, cells: map[string]register.Entry{}, memo: &listing{}, arrivals: map[string][]time.Duration{}}
 	m.chilled = modelBack - time.Duration(m.r.Intn(3))*150*time.Millisecond
 	m.herd = (modelBack + 1100*time.Millisecond + m.until(1200*time.Millisecond)).Round(modelTick)
 	if m.r.Intn(2) == 0 {
@@ -357,9 +357,9 @@
 	warm := []engine.Listed{{Name: "e", Addr: "1", Pool: "p", Site: "z", State: "live", Role: engine.Decode, Slots: 64}}
 	cold := append([]engine.Listed(nil), warm...)
 	cold[0].ColdMS = 2500
-	cellOf := func(serial uint64, list engine.List) register.Cell {
+	cellOf := func(serial uint64, list engine.List) register.Entry {
 		value, _ := json.Marshal(list)
-		return register.Cell{Serial: serial, Value: value}
+		return register.Entry{Serial: serial, Value: value}
 	}
 	held := cellOf(7, engine.List{Serial: 7, Engines: warm, Covers: 3})
 	Convey("a node that looks for the first time records that an engine is cold; one that saw it cool does not", t, func() {
@@ -408,7 +408,7 @@
 		So(e.coldLeft(e.servers["e"], time.Minute+time.Second), ShouldEqual, 0)
 	})
 	Convey("only who takes an emptied site back puts it in doubt; the same order once more does not", t, func() {
-		m := &model{cells: map[string]register.Cell{}}
+		m := &model{cells: map[string]register.Entry{}}
 		operator := control.New(m, modelClock{m}, time.Second, time.Minute)
 		state := func(empty bool) (s engine.SiteState) {
 			_, _, fault := operator.EmptySite(context.Background(), "z", empty)
@@ -464,7 +464,7 @@
 		cancel()
 		cold := []engine.Listed{{Name: "e", Addr: "1", Pool: "p", Site: "z", State: "live", Role: engine.Decode, Slots: 64, ColdMS: 2500}}
 		value, _ := json.Marshal(engine.List{Serial: 1, Engines: cold})
-		held := register.Cell{Serial: 1, Value: value}
+		held := register.Entry{Serial: 1, Value: value}
 		_, ok := n.record(ended, held, cold, sitesView{}, had)
 		So(ok, ShouldBeFalse)
 		_, changed := had.next(held, cold, sitesView{})
@@ -477,7 +477,7 @@
 		listed := engine.List{Serial: 1, Engines: []engine.Listed{{Name: "e", Addr: "1", Pool: "p", Site: "z", State: "live", Role: engine.Decode, Slots: 64}}}
 		put := func(key string, serial uint64, value any) {
 			b, _ := json.Marshal(value)
-			n.adopt(key, register.Cell{Serial: serial, Value: b})
+			n.adopt(key, register.Entry{Serial: serial, Value: b})
 		}
 		cold := func() bool { return n.engines.coldLeft(n.engines.servers["e"], n.clock.Now()) > 0 }
 		put(core.KeyEngines, 1, listed)
--- a/node/control.go
+++ b/node/control.go
@@ -62,7 +62,7 @@
 }
 
 // adopt puts one confirmed cell in force. Maps are made anew, since pictures share them.
-func (n *Node) adopt(key string, cell register.Cell) {
+func (n *Node) adopt(key string, cell register.Entry) {
 	fields := event.Fields{"serial": cell.Serial}
 	number := event.DeskInForce
 	switch {
@@ -158,7 +158,7 @@
 }
 
 // Seen is what this node holds of a key now.
-func (n *Node) Seen(key string) register.Cell {
+func (n *Node) Seen(key string) register.Entry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.core.Keeper.Cell(key)
@@ -172,20 +172,20 @@
 }
 
 // Look reads one key from a majority without writing anything.
-func (n *Node) Look(ctx context.Context, key string, patience time.Duration) (register.Cell, bool) {
+func (n *Node) Look(ctx context.Context, key string, patience time.Duration) (register.Entry, bool) {
 	type found struct {
-		cell register.Cell
+		cell register.Entry
 		ok   bool
 	}
 	out := make(chan found, 1)
 	n.mu.Lock()
-	n.core.Look(key, patience, func(c register.Cell, ok bool) { out <- found{c, ok} })
+	n.core.Look(key, patience, func(c register.Entry, ok bool) { out <- found{c, ok} })
 	n.mu.Unlock()
 	select {
 	case f := <-out:
 		return f.cell, f.ok
 	case <-ctx.Done():
-		return register.Cell{}, false
+		return register.Entry{}, false
 	}
 }
 
--- a/node/desks.go
+++ b/node/desks.go
@@ -62,9 +62,9 @@
 
 // prepare parses desk files in a frame before the core sees it.
 func (d *desks) prepare(m register.Message) {
-	for _, kc := range m.Cells {
-		if kc.Key == core.KeyDesk && len(kc.Cell.Value) > 0 {
-			d.find(kc.Cell.Value)
+	for _, kc := range m.Entries {
+		if kc.Key == core.KeyDesk && len(kc.Entry.Value) > 0 {
+			d.find(kc.Entry.Value)
 		}
 	}
 }
--- a/node/duty.go
+++ b/node/duty.go
@@ -64,7 +64,7 @@
 
 // rolesDuty plans one pool's roles, records the plan on a majority with this node's name
 // in it, and only then orders engines, under the term of the record (section 4.5).
-func (n *Node) rolesDuty(ctx context.Context, key string, cell register.Cell, pool desk.Pool) {
+func (n *Node) rolesDuty(ctx context.Context, key string, cell register.Entry, pool desk.Pool) {
 	post := n.post(key)
 	cell = post.newest(cell)
 	table := tableOf(cell)
@@ -93,7 +93,7 @@
 	}
 }
 
-func (n *Node) writeTable(ctx context.Context, key string, base uint64, table engine.RoleTable) (register.Cell, bool) {
+func (n *Node) writeTable(ctx context.Context, key string, base uint64, table engine.RoleTable) (register.Entry, bool) {
 	value, err := json.Marshal(table)
 	if err != nil {
 		panic(err) // a map of texts always encodes
@@ -121,11 +121,11 @@
 	return min(n.core.Keeper.Until()-n.clock.Now(), n.settings.Bounds.InForce.D()/2)
 }
 
-func baseOf(cell register.Cell, table engine.RoleTable) tenure.Base {
+func baseOf(cell register.Entry, table engine.RoleTable) tenure.Base {
 	return tenure.Base{Record: table.Record, Serial: cell.Serial, Epoch: cell.Epoch.Count}
 }
 
-func tableOf(cell register.Cell) engine.RoleTable {
+func tableOf(cell register.Entry) engine.RoleTable {
 	var table engine.RoleTable
 	if cell.Serial > 0 {
 		_ = json.Unmarshal(cell.Value, &table)
@@ -139,11 +139,11 @@
 	planner *roles.Planner
 	rival   core.Rivalry
 	tenure  *tenure.Tenure
-	written register.Cell // by this node, and chosen; the permit may not show it yet
+	written register.Entry // by this node, and chosen; the permit may not show it yet
 }
 
 // newest is the newer one of what the permit shows and what this node wrote itself.
-func (p *post) newest(cell register.Cell) register.Cell {
+func (p *post) newest(cell register.Entry) register.Entry {
 	if p.written.Serial > cell.Serial {
 		return p.written
 	}
--- a/node/duty_test.go
+++ b/node/duty_test.go
@@ -15,7 +15,7 @@
 func TestFences(t *testing.T) {
 	table := engine.RoleTable{Roles: map[string]string{"e": engine.Prefill}, Record: tenure.Record{Holder: "a", Term: 4}}
 	value, _ := json.Marshal(table)
-	cell := register.Cell{Epoch: register.Epoch{Count: 9, Holder: "a"}, Serial: 6, Value: value}
+	cell := register.Entry{Epoch: register.Epoch{Count: 9, Holder: "a"}, Serial: 6, Value: value}
 	Convey("A cell that another node settles keeps its fence, and that node is no holder by it", t, func() {
 		settled := cell
 		settled.Epoch = register.Epoch{Count: 10, Holder: "b"}
@@ -25,8 +25,8 @@
 	})
 	Convey("What this node wrote counts before its permit shows it", t, func() {
 		p := post{written: cell}
-		So(p.newest(register.Cell{Serial: 5}).Serial, ShouldEqual, 6)
-		So(p.newest(register.Cell{Serial: 7}).Serial, ShouldEqual, 7)
+		So(p.newest(register.Entry{Serial: 5}).Serial, ShouldEqual, 6)
+		So(p.newest(register.Entry{Serial: 7}).Serial, ShouldEqual, 7)
 	})
 	Convey("A plan that may not be ordered moves no role, and takes in new engines as they are", t, func() {
 		old := map[string]string{"a": engine.Prefill, "b": engine.Decode, "gone": engine.Decode}
--- a/node/list.go
+++ b/node/list.go
@@ -121,7 +121,7 @@
 // record writes the list on top of the one in force where they differ, and tells under
 // which serial the register holds what was seen. What an edit that came between makes
 // stale is seen anew at the next turn.
-func (n *Node) record(ctx context.Context, cell register.Cell, engines []engine.Listed, view sitesView, had *listing) (uint64, bool) {
+func (n *Node) record(ctx context.Context, cell register.Entry, engines []engine.Listed, view sitesView, had *listing) (uint64, bool) {
 	next, changed := had.next(cell, engines, view)
 	if !changed {
 		return cell.Serial, true
@@ -147,7 +147,7 @@
 
 // next is the list to be recorded on top of the one in a cell after a look; false where
 // that one says the same.
-func (l *listing) next(cell register.Cell, engines []engine.Listed, view sitesView) (engine.List, bool) {
+func (l *listing) next(cell register.Entry, engines []engine.Listed, view sitesView) (engine.List, bool) {
 	var held engine.List
 	_ = json.Unmarshal(cell.Value, &held)
 	changed := cell.Serial == 0 || differ(held.Engines, engines) || l.colder(engines) ||
--- a/node/node.go
+++ b/node/node.go
@@ -351,7 +351,7 @@
 
 func (p ports) Say(number event.Number, fields event.Fields) { p.n.log.Say(number, fields) }
 
-func (p ports) Adopted(key string, cell register.Cell) { p.n.adopt(key, cell) }
+func (p ports) Adopted(key string, cell register.Entry) { p.n.adopt(key, cell) }
 
 func (p ports) TableChanged(e calot.Entry, departed bool) {
 	number := event.CohortJoined
--- a/node/reads.go
+++ b/node/reads.go
@@ -86,7 +86,7 @@
 		case <-ctx.Done():
 			return
 		case notice := <-n.engines.notices:
-			m := register.Message{Kind: register.KindReads, From: n.settings.Listen, Cell: register.Cell{Value: notice.Encode()}}
+			m := register.Message{Kind: register.KindReads, From: n.settings.Listen, Cell: register.Entry{Value: notice.Encode()}}
 			for _, addr := range n.others() {
 				n.link.Frame(addr, m, wire.Cohort{})
 			}
--- a/once/once.go
+++ b/once/once.go
@@ -62,7 +62,7 @@
 }
 
 // Decode reads a cell; nothing was ever claimed when its serial is 0.
-func Decode(cell register.Cell) (Claim, error) {
+func Decode(cell register.Entry) (Claim, error) {
 	var c Claim
 	if cell.Serial == 0 {
 		return Claim{State: Released}, nil
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -45,7 +45,7 @@
 
 type slot struct {
 	promised Epoch
-	cell     Cell
+	cell     Entry
 }
 
 // Acceptor is one disk's part of every register. It is not safe for concurrent
@@ -141,7 +141,7 @@
 			continue
 		}
 		for _, key := range keys {
-			a.put(key, a.slots[key], Cell{})
+			a.put(key, a.slots[key], Entry{})
 			delete(a.slots, key)
 			delete(a.ranges[rangeOf(key)], key)
 		}
@@ -196,7 +196,7 @@
 }
 
 // put replaces a cell and keeps its range's digest up.
-func (a *Acceptor) put(key string, s *slot, cell Cell) {
+func (a *Acceptor) put(key string, s *slot, cell Entry) {
 	at := rangeOf(key)
 	a.digests[at] ^= digest(key, s.cell) ^ digest(key, cell)
 	s.cell = cell
@@ -279,7 +279,7 @@
 				asked = append(asked, h.key)
 			}
 		}
-		for _, kc := range in.Cells {
+		for _, kc := range in.Entries {
 			asked = append(asked, kc.Key)
 		}
 	}
@@ -295,27 +295,27 @@
 	case KindQuery:
 		out.Kind, out.Yes, out.Again = KindQueried, true, in.Again
 		for _, h := range holds {
-			found := KeyCell{Key: h.key}
+			found := KeyEntry{Key: h.key}
 			if s := a.slots[h.key]; s != nil {
-				found.Cell = s.cell
+				found.Entry = s.cell
 			}
-			if h.is(found.Cell) {
+			if h.is(found.Entry) {
 				continue
 			}
-			if len(found.Cell.Value) > briefValue {
-				found.Cell.Value, found.Bare = nil, true
+			if len(found.Entry.Value) > briefValue {
+				found.Entry.Value, found.Bare = nil, true
 			}
-			out.Cells = append(out.Cells, found)
+			out.Entries = append(out.Entries, found)
 		}
-		for _, kc := range in.Cells {
-			found := KeyCell{Key: kc.Key}
+		for _, kc := range in.Entries {
+			found := KeyEntry{Key: kc.Key}
 			if s := a.slots[kc.Key]; s != nil {
-				found.Promised, found.Cell = s.promised, s.cell
-				if kc.Cell.Serial > 0 && kc.Cell.Same(s.cell) {
-					found.Cell.Value, found.Bare = nil, true
+				found.Promised, found.Entry = s.promised, s.cell
+				if kc.Entry.Serial > 0 && kc.Entry.Same(s.cell) {
+					found.Entry.Value, found.Bare = nil, true
 				}
 			}
-			out.Cells = append(out.Cells, found)
+			out.Entries = append(out.Entries, found)
 		}
 		a.barrier(out, reply)
 	case KindDigest:
@@ -325,7 +325,7 @@
 		out.Kind, out.Yes, out.Range = KindCells, true, in.Range
 		for _, key := range sortedKeys(a.ranges[in.Range%Ranges]) {
 			if cell := a.slots[key].cell; cell.Serial > 0 {
-				out.Cells = append(out.Cells, KeyCell{Key: key, Cell: cell})
+				out.Entries = append(out.Entries, KeyEntry{Key: key, Entry: cell})
 			}
 		}
 		a.barrier(out, reply)
@@ -433,18 +433,18 @@
 // that this disk missed (section 3.6). A disk that is being admitted takes it
 // even below its promise: whoever got that promise got one from a majority of
 // the old disks too, and so has seen what was chosen there (section 3.8).
-func (a *Acceptor) Mend(kc KeyCell, admitted bool) bool {
-	if !a.Trusted() || kc.Cell.Serial == 0 {
+func (a *Acceptor) Mend(kc KeyEntry, admitted bool) bool {
+	if !a.Trusted() || kc.Entry.Serial == 0 {
 		return false
 	}
 	s := a.slots[kc.Key]
 	if a.passed(kc.Key) {
 		return false
 	}
-	if s != nil && (!kc.Cell.Newer(s.cell) || kc.Cell.Epoch.Less(s.promised) && !admitted) {
+	if s != nil && (!kc.Entry.Newer(s.cell) || kc.Entry.Epoch.Less(s.promised) && !admitted) {
 		return false
 	}
-	rec := Message{Kind: KindAccept, Key: kc.Key, Epoch: kc.Cell.Epoch, Cell: kc.Cell}
+	rec := Message{Kind: KindAccept, Key: kc.Key, Epoch: kc.Entry.Epoch, Cell: kc.Entry}
 	a.slot(kc.Key)
 	a.Replay(rec)
 	a.log.Append(rec, a.then(Message{}, func(Message) {}))
@@ -483,7 +483,7 @@
 func (a *Acceptor) Digests() []uint64 { return append([]uint64(nil), a.digests[:]...) }
 
 // digest of one cell with its key; nothing at all has none.
-func digest(key string, cell Cell) uint64 {
+func digest(key string, cell Entry) uint64 {
 	if cell.Serial == 0 {
 		return 0
 	}
--- a/register/acceptor_test.go
+++ b/register/acceptor_test.go
@@ -61,29 +61,29 @@
 		d := &disk{}
 		a := formed(d)
 		passed, kept := PassingKey(3, "k"), PassingKey(4, "k")
-		cell := Cell{Epoch: epoch(1, "h"), Serial: 1, Op: "done"}
+		cell := Entry{Epoch: epoch(1, "h"), Serial: 1, Op: "done"}
 		for _, key := range []string{passed, kept, "desk"} {
 			So(say(a, Message{Kind: KindAccept, Key: key, Epoch: cell.Epoch, Cell: cell}).Yes, ShouldBeTrue)
 		}
-		floor := Cell{Epoch: epoch(1, "h"), Serial: 8, Value: Windows{Open: 8, Floor: 4}.Encode()}
+		floor := Entry{Epoch: epoch(1, "h"), Serial: 8, Value: Windows{Open: 8, Floor: 4}.Encode()}
 		So(say(a, Message{Kind: KindAccept, Key: KeyWindows, Epoch: floor.Epoch, Cell: floor}).Yes, ShouldBeTrue)
 		So(a.Forgot(), ShouldEqual, 1)
 		// A cell that stands lower, as one that was never chosen may be followed by, lowers nothing.
-		lower := Cell{Epoch: epoch(2, "i"), Serial: 8, Value: Windows{Open: 7, Floor: 3}.Encode()}
+		lower := Entry{Epoch: epoch(2, "i"), Serial: 8, Value: Windows{Open: 7, Floor: 3}.Encode()}
 		So(say(a, Message{Kind: KindAccept, Key: KeyWindows, Epoch: lower.Epoch, Cell: lower}).Yes, ShouldBeTrue)
 		refused := func(a *Acceptor) {
 			for _, m := range []Message{
 				{Kind: KindPrepare, Key: passed, Epoch: epoch(9, "z")},
-				{Kind: KindAccept, Key: passed, Epoch: epoch(9, "z"), Cell: Cell{Epoch: epoch(9, "z"), Serial: 1}},
-				{Kind: KindQuery, Cells: []KeyCell{{Key: passed}}},
+				{Kind: KindAccept, Key: passed, Epoch: epoch(9, "z"), Cell: Entry{Epoch: epoch(9, "z"), Serial: 1}},
+				{Kind: KindQuery, Entries: []KeyEntry{{Key: passed}}},
 			} {
 				out := say(a, m)
 				So(out.Yes, ShouldBeFalse)
 				So(out.Reason, ShouldEqual, ReasonPassed)
 			}
-			So(a.Mend(KeyCell{Key: passed, Cell: cell}, true), ShouldBeFalse)
-			So(say(a, Message{Kind: KindQuery, Cells: []KeyCell{{Key: kept}}}).Cells[0].Cell, ShouldResemble, cell)
-			So(say(a, Message{Kind: KindQuery, Cells: []KeyCell{{Key: "desk"}}}).Cells[0].Cell, ShouldResemble, cell)
+			So(a.Mend(KeyEntry{Key: passed, Entry: cell}, true), ShouldBeFalse)
+			So(say(a, Message{Kind: KindQuery, Entries: []KeyEntry{{Key: kept}}}).Entries[0].Entry, ShouldResemble, cell)
+			So(say(a, Message{Kind: KindQuery, Entries: []KeyEntry{{Key: "desk"}}}).Entries[0].Entry, ShouldResemble, cell)
 		}
 		refused(a)
 		// The same after a restart, from the records and from a picture.
@@ -97,8 +97,8 @@
 		// And on a new disk that was admitted by copying from this one.
 		fresh := formed(&disk{})
 		fresh.Raise(say(a, Message{Kind: KindDigest}).Floor, func(error) {})
-		fresh.Mend(KeyCell{Key: kept, Cell: cell}, true)
-		fresh.Mend(KeyCell{Key: "desk", Cell: cell}, true)
+		fresh.Mend(KeyEntry{Key: kept, Entry: cell}, true)
+		fresh.Mend(KeyEntry{Key: "desk", Entry: cell}, true)
 		refused(fresh)
 	})
 	Convey("windows open one by one, the floor behind them, and it never falls", t, func() {
@@ -110,7 +110,7 @@
 			So(next.Open-next.Floor, ShouldBeLessThanOrEqualTo, KeptWindows)
 			w = next
 		}
-		So(DecodeWindows(Cell{Serial: 1, Value: w.Encode()}), ShouldResemble, w)
+		So(DecodeWindows(Entry{Serial: 1, Value: w.Encode()}), ShouldResemble, w)
 	})
 }
 
@@ -143,9 +143,9 @@
 		a := NewAcceptor("a", "addr", d)
 		set := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
 		a.Replay(Message{Kind: KindSet, Set: set})
-		said := Cell{Epoch: epoch(1, "h"), Serial: 1, Op: "said yes to"}
+		said := Entry{Epoch: epoch(1, "h"), Serial: 1, Op: "said yes to"}
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: said.Epoch, Cell: said}).Yes, ShouldBeTrue)
-		refused := Cell{Epoch: epoch(2, "h"), Serial: 2, Op: "refused"}
+		refused := Entry{Epoch: epoch(2, "h"), Serial: 2, Op: "refused"}
 		d.fails = true
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: refused.Epoch, Cell: refused}).Reason, ShouldEqual, ReasonDisk)
 		d.fails = false
@@ -153,8 +153,8 @@
 		before := a.Picture()
 		messages := []Message{
 			{Kind: KindPrepare, Key: "desk", Epoch: epoch(9, "z")},
-			{Kind: KindAccept, Key: "desk", Epoch: epoch(9, "z"), Cell: Cell{Epoch: epoch(9, "z"), Serial: 3}},
-			{Kind: KindQuery, Cells: []KeyCell{{Key: "desk"}}},
+			{Kind: KindAccept, Key: "desk", Epoch: epoch(9, "z"), Cell: Entry{Epoch: epoch(9, "z"), Serial: 3}},
+			{Kind: KindQuery, Entries: []KeyEntry{{Key: "desk"}}},
 			{Kind: KindDigest}, {Kind: KindRange}, {Kind: KindWho},
 			{Kind: KindPledge, Pledge: set},
 		}
@@ -165,7 +165,7 @@
 				So(out.Reason, ShouldEqual, ReasonDisk)
 			}
 			a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 2, Disks: set.Disks}}, func(out Message) { So(out.Yes, ShouldBeFalse) })
-			So(a.Mend(KeyCell{Key: "sites", Cell: Cell{Epoch: epoch(9, "z"), Serial: 1}}, true), ShouldBeFalse)
+			So(a.Mend(KeyEntry{Key: "sites", Entry: Entry{Epoch: epoch(9, "z"), Serial: 1}}, true), ShouldBeFalse)
 			a.Raise(5, func(err error) { So(err, ShouldEqual, ErrSuspect) })
 			So(a.Picture(), ShouldResemble, before)
 		}
@@ -195,13 +195,13 @@
 		for name, do := range map[string]func(a *Acceptor){
 			"prepare": func(a *Acceptor) { say(a, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(1, "h")}) },
 			"accept": func(a *Acceptor) {
-				say(a, Message{Kind: KindAccept, Key: "desk", Epoch: epoch(1, "h"), Cell: Cell{Epoch: epoch(1, "h"), Serial: 1}})
+				say(a, Message{Kind: KindAccept, Key: "desk", Epoch: epoch(1, "h"), Cell: Entry{Epoch: epoch(1, "h"), Serial: 1}})
 			},
 			"query": func(a *Acceptor) { say(a, Message{Kind: KindQuery}) },
 			"set": func(a *Acceptor) {
 				a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 2, Disks: a.Set().Disks}}, func(Message) {})
 			},
-			"mend":  func(a *Acceptor) { a.Mend(KeyCell{Key: "desk", Cell: Cell{Epoch: epoch(1, "h"), Serial: 1}}, false) },
+			"mend":  func(a *Acceptor) { a.Mend(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(1, "h"), Serial: 1}}, false) },
 			"raise": func(a *Acceptor) { a.Raise(3, func(error) {}) },
 		} {
 			d := &disk{fails: true}
@@ -229,7 +229,7 @@
 func TestPicture(t *testing.T) {
 	Convey("a picture rebuilds promises above what was accepted, the floor, the set and the pledge", t, func() {
 		a := formed(&disk{})
-		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: epoch(3, "h"), Cell: Cell{Epoch: epoch(3, "h"), Serial: 2, Value: []byte("v")}}).Yes, ShouldBeTrue)
+		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: epoch(3, "h"), Cell: Entry{Epoch: epoch(3, "h"), Serial: 2, Value: []byte("v")}}).Yes, ShouldBeTrue)
 		So(say(a, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(5, "i")}).Yes, ShouldBeTrue)
 		again := NewAcceptor("a", "addr", &disk{})
 		for _, rec := range a.Picture() {
@@ -244,17 +244,17 @@
 func TestDigests(t *testing.T) {
 	Convey("equal cells have equal digests, whatever way they came; a forgotten key leaves none", t, func() {
 		one, other := formed(&disk{}), formed(&disk{})
-		cells := map[string]Cell{}
+		cells := map[string]Entry{}
 		for i := range 200 {
 			key := PassingKey(1, fmt.Sprint(i))
-			cells[key] = Cell{Epoch: epoch(2, "h"), Serial: 2, Op: key}
-			say(one, Message{Kind: KindAccept, Key: key, Epoch: epoch(1, "h"), Cell: Cell{Epoch: epoch(1, "h"), Serial: 1}})
+			cells[key] = Entry{Epoch: epoch(2, "h"), Serial: 2, Op: key}
+			say(one, Message{Kind: KindAccept, Key: key, Epoch: epoch(1, "h"), Cell: Entry{Epoch: epoch(1, "h"), Serial: 1}})
 			say(one, Message{Kind: KindAccept, Key: key, Epoch: epoch(2, "h"), Cell: cells[key]})
 		}
 		So(other.Digests(), ShouldNotResemble, one.Digests())
 		for i := range uint32(Ranges) {
-			for _, kc := range say(one, Message{Kind: KindRange, Range: i}).Cells {
-				So(kc.Cell, ShouldResemble, cells[kc.Key])
+			for _, kc := range say(one, Message{Kind: KindRange, Range: i}).Entries {
+				So(kc.Entry, ShouldResemble, cells[kc.Key])
 				So(other.Mend(kc, false), ShouldBeTrue)
 			}
 		}
@@ -262,7 +262,7 @@
 		one.Raise(2, func(error) {})
 		So(one.Forgot(), ShouldEqual, 200)
 		So(one.Digests(), ShouldResemble, make([]uint64, Ranges))
-		So(say(one, Message{Kind: KindRange, Range: rangeOf(PassingKey(1, "1"))}).Cells, ShouldBeEmpty)
+		So(say(one, Message{Kind: KindRange, Range: rangeOf(PassingKey(1, "1"))}).Entries, ShouldBeEmpty)
 	})
 }
 
@@ -271,7 +271,7 @@
 	a := formed(&disk{})
 	for i := range 21_000 {
 		key := PassingKey(1, fmt.Sprint(i))
-		say(a, Message{Kind: KindAccept, Key: key, Epoch: epoch(1, "h"), Cell: Cell{Epoch: epoch(1, "h"), Serial: 1, Value: make([]byte, 200)}})
+		say(a, Message{Kind: KindAccept, Key: key, Epoch: epoch(1, "h"), Cell: Entry{Epoch: epoch(1, "h"), Serial: 1, Value: make([]byte, 200)}})
 	}
 	for b.Loop() {
 		say(a, Message{Kind: KindDigest})
@@ -284,7 +284,7 @@
 		other := quorum.Disk{Identity: "b", Addr: "b"}
 		mine := quorum.Disk{Identity: "a", Addr: "addr"}
 		admitted := quorum.Set{Serial: 5, Disks: []quorum.Disk{other}, Next: []quorum.Disk{mine, other}}
-		cell := Cell{Epoch: epoch(9, "h"), Serial: 1, Op: "chosen by nobody"}
+		cell := Entry{Epoch: epoch(9, "h"), Serial: 1, Op: "chosen by nobody"}
 		for name, sets := range map[string][]quorum.Set{
 			"it learns that it is out":         {{Serial: 2, Disks: []quorum.Disk{other}}, admitted},
 			"it first hears that it is wanted": {admitted},
@@ -296,23 +296,23 @@
 				a.Handle(Message{Kind: KindSet, Set: set}, func(Message) {})
 			}
 			held := func(a *Acceptor) (out Message) {
-				a.Handle(Message{Kind: KindQuery, Set: quorum.Set{Serial: 5}, Cells: []KeyCell{{Key: "desk"}}}, func(r Message) { out = r })
+				a.Handle(Message{Kind: KindQuery, Set: quorum.Set{Serial: 5}, Entries: []KeyEntry{{Key: "desk"}}}, func(r Message) { out = r })
 				return out
 			}
 			SoMsg(name, held(a).Yes, ShouldBeTrue)
-			SoMsg(name, held(a).Cells[0].Cell.Serial, ShouldEqual, 0)
-			So(a.Mend(KeyCell{Key: "desk", Cell: Cell{Epoch: epoch(5, "g"), Serial: 1, Op: "chosen"}}, true), ShouldBeTrue)
+			SoMsg(name, held(a).Entries[0].Entry.Serial, ShouldEqual, 0)
+			So(a.Mend(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(5, "g"), Serial: 1, Op: "chosen"}}, true), ShouldBeTrue)
 			for _, records := range [][]Message{d.records, a.Picture()} {
 				again := formed(&disk{})
 				for _, rec := range records {
 					again.Replay(rec)
 				}
-				SoMsg(name, held(again).Cells[0].Cell.Op, ShouldEqual, "chosen")
+				SoMsg(name, held(again).Entries[0].Entry.Op, ShouldEqual, "chosen")
 			}
 			// As the change ends, it keeps what it has copied.
 			a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 6, Disks: admitted.Next}}, func(Message) {})
-			a.Handle(Message{Kind: KindQuery, Set: quorum.Set{Serial: 6}, Cells: []KeyCell{{Key: "desk"}}}, func(r Message) {
-				So(r.Cells[0].Cell.Op, ShouldEqual, "chosen")
+			a.Handle(Message{Kind: KindQuery, Set: quorum.Set{Serial: 6}, Entries: []KeyEntry{{Key: "desk"}}}, func(r Message) {
+				So(r.Entries[0].Entry.Op, ShouldEqual, "chosen")
 			})
 		}
 	})
--- a/register/brief.go
+++ b/register/brief.go
@@ -12,12 +12,12 @@
 // changed: a whole query and its reply are 1,904 bytes for five keys (section 4.2).
 
 // Brief makes a query brief.
-func (m *Message) Brief(cells []KeyCell) {
+func (m *Message) Brief(cells []KeyEntry) {
 	keys := make([]string, 0, len(cells))
-	m.Again, m.Cells, m.Digests = true, nil, nil
+	m.Again, m.Entries, m.Digests = true, nil, nil
 	for _, kc := range cells {
 		keys = append(keys, kc.Key)
-		m.Digests = append(m.Digests, kc.Cell.Serial, digestOf(kc.Cell.Epoch))
+		m.Digests = append(m.Digests, kc.Entry.Serial, digestOf(kc.Entry.Epoch))
 	}
 	m.Key = strings.Join(keys, briefComma)
 }
@@ -48,7 +48,7 @@
 	return out, true
 }
 
-func (h held) is(c Cell) bool { return h.serial == c.Serial && h.epoch == digestOf(c.Epoch) }
+func (h held) is(c Entry) bool { return h.serial == c.Serial && h.epoch == digestOf(c.Epoch) }
 
 func digestOf(e Epoch) uint64 {
 	if e == (Epoch{}) {
--- a/register/brief_test.go
+++ b/register/brief_test.go
@@ -15,21 +15,21 @@
 			if key == "newer" {
 				serial = 6
 			}
-			So(say(a, Message{Kind: KindAccept, Key: key, Epoch: mine, Cell: Cell{Epoch: mine, Serial: serial, Op: "o", Value: []byte(key)}}).Yes, ShouldBeTrue)
+			So(say(a, Message{Kind: KindAccept, Key: key, Epoch: mine, Cell: Entry{Epoch: mine, Serial: serial, Op: "o", Value: []byte(key)}}).Yes, ShouldBeTrue)
 		}
 		ask := Message{Kind: KindQuery, Ask: 7}
 		ask.Set.Serial = 1
-		ask.Brief([]KeyCell{
-			{Key: "same", Cell: Cell{Epoch: mine, Serial: 5}}, {Key: "newer", Cell: Cell{Epoch: mine, Serial: 5}},
-			{Key: "other", Cell: Cell{Epoch: epoch(3, "g"), Serial: 5}}, {Key: "fresh"}, {Key: "never"},
+		ask.Brief([]KeyEntry{
+			{Key: "same", Entry: Entry{Epoch: mine, Serial: 5}}, {Key: "newer", Entry: Entry{Epoch: mine, Serial: 5}},
+			{Key: "other", Entry: Entry{Epoch: epoch(3, "g"), Serial: 5}}, {Key: "fresh"}, {Key: "never"},
 		})
 		var got []Message
 		a.Handle(ask, func(m Message) { got = append(got, m) })
 		So(got, ShouldHaveLength, 1)
 		So(got[0].Again, ShouldBeTrue)
 		values := map[string]string{}
-		for _, kc := range got[0].Cells {
-			values[kc.Key] = string(kc.Cell.Value)
+		for _, kc := range got[0].Entries {
+			values[kc.Key] = string(kc.Entry.Value)
 		}
 		So(values, ShouldResemble, map[string]string{"newer": "newer", "other": "other", "fresh": "fresh"})
 
--- a/register/holder.go
+++ b/register/holder.go
@@ -32,7 +32,7 @@
 
 	// Known is what this node knows of a key otherwise; nil: nothing. Disks that hold
 	// the same leave its value out of their promises.
-	Known func(key string) Cell
+	Known func(key string) Entry
 }
 
 type holding struct {
@@ -40,9 +40,9 @@
 	prepared bool // our epoch was promised by a majority and nobody refused it since
 	epoch    Epoch
 	highest  uint64 // highest count seen anywhere
-	cell     Cell
-	known    Cell // its value need not be sent by disks that hold the same
-	late     uint // rounds in a row that did not end in time
+	cell     Entry
+	known    Entry // its value need not be sent by disks that hold the same
+	late     uint  // rounds in a row that did not end in time
 	queue    []*job
 	used     time.Duration
 
@@ -52,9 +52,9 @@
 	waitTo  time.Duration // between tries
 	yes     map[string]bool
 	no      map[string]bool
-	adopted Cell
-	agree   map[string]Cell
-	writing Cell
+	adopted Entry
+	agree   map[string]Entry
+	writing Entry
 	settles bool // the accept round rewrites what was found
 }
 
@@ -94,10 +94,10 @@
 func (h *Holder) Set() quorum.Set { return h.set }
 
 // Held is the epoch under which this node holds a key, if it does.
-func (h *Holder) Held(key string) (Epoch, Cell, bool) {
+func (h *Holder) Held(key string) (Epoch, Entry, bool) {
 	hd := h.held[key]
 	if hd == nil || !hd.prepared {
-		return Epoch{}, Cell{}, false
+		return Epoch{}, Entry{}, false
 	}
 	return hd.epoch, hd.cell, true
 }
@@ -130,23 +130,23 @@
 	}
 	j := hd.queue[0]
 	if hd.prepared && !j.req.Read && hd.cell.Serial == j.req.Base {
-		h.write(hd, Cell{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
+		h.write(hd, Entry{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
 		return
 	}
 	hd.prepared = false
 	hd.highest = max(hd.highest, hd.epoch.Count) + 1
 	hd.epoch = Epoch{Count: hd.highest, Holder: h.self}
-	hd.adopted, hd.agree = Cell{}, map[string]Cell{}
+	hd.adopted, hd.agree = Entry{}, map[string]Entry{}
 	hd.known = hd.cell
 	if h.Known != nil {
 		if c := h.Known(hd.key); c.Newer(hd.known) {
 			hd.known = c
 		}
 	}
-	h.open(hd, KindPrepare, Message{Kind: KindPrepare, Key: hd.key, Epoch: hd.epoch, Cell: Cell{Epoch: hd.known.Epoch, Serial: hd.known.Serial}})
+	h.open(hd, KindPrepare, Message{Kind: KindPrepare, Key: hd.key, Epoch: hd.epoch, Cell: Entry{Epoch: hd.known.Epoch, Serial: hd.known.Serial}})
 }
 
-func (h *Holder) write(hd *holding, cell Cell, settles bool) {
+func (h *Holder) write(hd *holding, cell Entry, settles bool) {
 	hd.writing, hd.settles = cell, settles
 	if !settles {
 		hd.queue[0].sent = true
@@ -235,7 +235,7 @@
 	chosen := cur.Serial == 0 || h.set.Majority(func(d string) bool { return hd.agree[d].Same(cur) && hd.yes[d] })
 	mine := !j.req.Read && j.req.Op != "" && cur.Op == j.req.Op
 	if !j.req.Read && !mine && cur.Serial == j.req.Base {
-		h.write(hd, Cell{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
+		h.write(hd, Entry{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
 		return
 	}
 	if chosen {
@@ -246,7 +246,7 @@
 	h.write(hd, cur, true)
 }
 
-func (h *Holder) verdict(j *job, cur Cell) Result {
+func (h *Holder) verdict(j *job, cur Entry) Result {
 	switch {
 	case j.req.Read, j.req.Op != "" && cur.Op == j.req.Op:
 		return Result{Outcome: Done, Cell: cur}
--- a/register/known_test.go
+++ b/register/known_test.go
@@ -23,7 +23,7 @@
 func TestKnown(t *testing.T) {
 	set := quorum.Set{Serial: 1}
 	long := strings.Repeat("desk ", 2000)
-	cell := Cell{Epoch: epoch(1, "g"), Serial: 1, Op: "one", Value: []byte(long)}
+	cell := Entry{Epoch: epoch(1, "g"), Serial: 1, Op: "one", Value: []byte(long)}
 	begin := func() (*Acceptor, *around, *Holder) {
 		a, net := formed(&disk{}), &around{}
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: cell.Epoch, Cell: cell}).Yes, ShouldBeTrue)
@@ -44,7 +44,7 @@
 				a.Handle(m, func(r Message) { sent += len(r.Cell.Value); h.Receive(r) })
 			}
 			if known {
-				h.Known = func(string) Cell { return cell }
+				h.Known = func(string) Entry { return cell }
 			} else {
 				So(read(h) == long, ShouldBeTrue)
 				So(sent, ShouldEqual, len(long))
--- a/register/message.go
+++ b/register/message.go
@@ -20,8 +20,8 @@
 	return e.Count < o.Count || e.Count == o.Count && e.Holder < o.Holder
 }
 
-// Cell is what a register holds. Serial 0 means that nothing was ever written.
-type Cell struct {
+// Entry is what a register holds. Serial 0 means that nothing was ever written.
+type Entry struct {
 	Epoch  Epoch
 	Serial uint64
 	Op     string // who wrote it, so that a repeated write is recognized
@@ -29,18 +29,18 @@
 }
 
 // Newer orders two accepted cells.
-func (c Cell) Newer(o Cell) bool {
+func (c Entry) Newer(o Entry) bool {
 	return o.Epoch.Less(c.Epoch) || c.Epoch == o.Epoch && c.Serial > o.Serial
 }
 
 // Same tells whether two cells are the one accepted write.
-func (c Cell) Same(o Cell) bool { return c.Epoch == o.Epoch && c.Serial == o.Serial }
+func (c Entry) Same(o Entry) bool { return c.Epoch == o.Epoch && c.Serial == o.Serial }
 
-// KeyCell is a cell with its key, and the promise beside it.
-type KeyCell struct {
+// KeyEntry is a cell with its key, and the promise beside it.
+type KeyEntry struct {
 	Key      string
 	Promised Epoch
-	Cell     Cell
+	Entry    Entry
 	Bare     bool // the value was left out, since the asker has it
 }
 
@@ -105,12 +105,12 @@
 	Disk     string
 	Key      string
 	Epoch    Epoch
-	Cell     Cell
+	Cell     Entry
 	Yes      bool
 	Reason   Reason
 	Set      quorum.Set
 	Pledge   quorum.Set
-	Cells    []KeyCell
+	Entries  []KeyEntry
 	Base     uint64
 	Read     bool
 	Again    bool
@@ -153,5 +153,5 @@
 // Result is what became of a Request, with the cell as it stands when known.
 type Result struct {
 	Outcome Outcome
-	Cell    Cell
+	Cell    Entry
 }
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -400,7 +400,7 @@
 	if !in.Yes || !d.admitted() || in.Base != set.Serial {
 		return
 	}
-	for _, kc := range in.Cells {
+	for _, kc := range in.Entries {
 		d.acceptor.Mend(kc, true)
 	}
 	if d.takenFor != set.Serial {
@@ -838,7 +838,7 @@
 }
 
 // survived compares what is read with what callers were told.
-func (m *model) survived(cell Cell) string {
+func (m *model) survived(cell Entry) string {
 	for _, op := range slices.Sorted(maps.Keys(m.results)) {
 		r := m.results[op]
 		switch {
@@ -1024,7 +1024,7 @@
 }
 
 func (w *writing) epoch(e Epoch) { w.num(e.Count); w.text(e.Holder) }
-func (w *writing) cell(c Cell)   { w.epoch(c.Epoch); w.num(c.Serial); w.text(c.Op) }
+func (w *writing) cell(c Entry)  { w.epoch(c.Epoch); w.num(c.Serial); w.text(c.Op) }
 func (w *writing) set(s quorum.Set) {
 	w.num(s.Serial)
 	w.num(uint64(len(s.Next)))
@@ -1057,10 +1057,10 @@
 	w.num(uint64(m.Reason))
 	w.num(m.Base)
 	w.set(m.Set)
-	w.num(uint64(len(m.Cells)))
-	for _, kc := range m.Cells {
+	w.num(uint64(len(m.Entries)))
+	for _, kc := range m.Entries {
 		w.text(kc.Key)
-		w.cell(kc.Cell)
+		w.cell(kc.Entry)
 	}
 }
 
@@ -1125,8 +1125,8 @@
 	}
 }
 
-func (w *writing) agreed(agree map[string]Cell) {
-	byName := map[string]Cell{}
+func (w *writing) agreed(agree map[string]Entry) {
+	byName := map[string]Entry{}
 	for name, cell := range agree {
 		byName[w.renamed(name)] = cell
 	}
@@ -1222,7 +1222,7 @@
 // logOf describes what a disk holds by the state that it would start with.
 func (w *writing) logOf(l *modelLog) {
 	var set uint64
-	promised, cells := map[string]Epoch{}, map[string]Cell{}
+	promised, cells := map[string]Epoch{}, map[string]Entry{}
 	for _, rec := range l.durable {
 		switch rec.Kind {
 		case KindSet:
--- a/register/paths.go
+++ b/register/paths.go
@@ -92,7 +92,7 @@
 	o.sent = o.sent || !req.Read
 	p.net.Send(chosenNode, Message{
 		Kind: KindDo, Ask: o.ask, From: p.self, Key: req.Key, Read: req.Read, Base: req.Base,
-		Again: req.Again, Patience: req.Patience, Cell: Cell{Op: req.Op, Value: req.Value},
+		Again: req.Again, Patience: req.Patience, Cell: Entry{Op: req.Op, Value: req.Value},
 	})
 }
 
--- a/register/windows.go
+++ b/register/windows.go
@@ -42,7 +42,7 @@
 }
 
 // DecodeWindows reads the register; nothing is open before it was first written.
-func DecodeWindows(c Cell) Windows {
+func DecodeWindows(c Entry) Windows {
 	var w Windows
 	if c.Serial > 0 {
 		_ = json.Unmarshal(c.Value, &w)
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -51,7 +51,7 @@
 	// Do performs one operation on the control state and waits for its outcome.
 	Do(ctx context.Context, req register.Request) register.Result
 	// Look reads one key from a majority without writing anything.
-	Look(ctx context.Context, key string, patience time.Duration) (register.Cell, bool)
+	Look(ctx context.Context, key string, patience time.Duration) (register.Entry, bool)
 	// OpID names one write.
 	OpID() string
 	// Background runs what outlives a request.
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -66,8 +66,8 @@
 func (w *world) Do(context.Context, register.Request) register.Result {
 	return register.Result{Outcome: register.NotDone}
 }
-func (w *world) Look(context.Context, string, time.Duration) (register.Cell, bool) {
-	return register.Cell{}, false
+func (w *world) Look(context.Context, string, time.Duration) (register.Entry, bool) {
+	return register.Entry{}, false
 }
 func (w *world) OpID() string                         { return "op" }
 func (w *world) Background(func(ctx context.Context)) {}
--- a/sim/behind_test.go
+++ b/sim/behind_test.go
@@ -48,7 +48,7 @@
 		plant(w)
 	}
 	var adopted []string
-	lost.OnAdopt = func(key string, cell register.Cell) {
+	lost.OnAdopt = func(key string, cell register.Entry) {
 		if key == core.KeyDesk {
 			adopted = append(adopted, string(cell.Value))
 		}
--- a/sim/catchup_test.go
+++ b/sim/catchup_test.go
@@ -36,7 +36,7 @@
 }
 
 // holds is the cell that a node's disk holds of a key.
-func (n *Node) holds(key string) (cell register.Cell) {
+func (n *Node) holds(key string) (cell register.Entry) {
 	for _, rec := range n.Core.Acceptor.Picture() {
 		if rec.Kind == register.KindAccept && rec.Key == key {
 			cell = rec.Cell
@@ -63,7 +63,7 @@
 	back := how(w, lost)
 	began, carried := w.Now(), back.carried
 	old := false
-	back.OnAdopt = func(key string, cell register.Cell) {
+	back.OnAdopt = func(key string, cell register.Entry) {
 		old = old || key == core.KeyDesk && string(cell.Value) != newest
 	}
 	holds := func() bool {
--- a/sim/disks_test.go
+++ b/sim/disks_test.go
@@ -274,7 +274,7 @@
 				So(write(w, w.Nodes[5], core.KeyDesk, serial+1, fmt.Sprint(serial)).Outcome, ShouldEqual, register.Done)
 			}
 			served := map[string]bool{}
-			lost.OnAdopt = func(key string, cell register.Cell) { served[key+string(cell.Value)] = true }
+			lost.OnAdopt = func(key string, cell register.Entry) { served[key+string(cell.Value)] = true }
 			lost.Start()
 			began, bound := w.Now(), lost.Settings.Bounds.CatchUp.D()
 			So(w.Until(bound, func() bool {
--- a/sim/history.go
+++ b/sim/history.go
@@ -55,7 +55,7 @@
 		}
 		h.Ops = append(h.Ops, op)
 		replied := false
-		done := func(outcome register.Outcome, cell register.Cell) {
+		done := func(outcome register.Outcome, cell register.Entry) {
 			if replied {
 				return
 			}
@@ -69,7 +69,7 @@
 		}
 		n.Do(req, func(r register.Result) { done(r.Outcome, r.Cell) })
 		// A node that dies takes its reply along: the caller never learns.
-		w.At(4*time.Second, func() { done(register.Unknown, register.Cell{}) })
+		w.At(4*time.Second, func() { done(register.Unknown, register.Entry{}) })
 	}
 	h.World.At(time.Duration(client)*time.Millisecond, step)
 }
--- a/sim/operators_test.go
+++ b/sim/operators_test.go
@@ -53,10 +53,10 @@
 	return h.reply
 }
 
-func (h *handler) OpID() string                  { return h.node.Core.OpID() }
-func (h *handler) Hurry()                        { h.node.Core.Keeper.Hurry() }
-func (h *handler) Seen(key string) register.Cell { return h.node.Core.Keeper.Cell(key) }
-func (h *handler) Now() time.Duration            { return h.fleet.Now() + h.node.Offset }
+func (h *handler) OpID() string                   { return h.node.Core.OpID() }
+func (h *handler) Hurry()                         { h.node.Core.Keeper.Hurry() }
+func (h *handler) Seen(key string) register.Entry { return h.node.Core.Keeper.Cell(key) }
+func (h *handler) Now() time.Duration             { return h.fleet.Now() + h.node.Offset }
 func (h *handler) Awake() bool {
 	at, froze := h.fleet.thawed[h.node]
 	return !froze || h.fleet.Now()-at >= thawCalm
@@ -248,7 +248,7 @@
 		out.orders++
 		f.send(func(k *control.Control) answer {
 			if without.fence {
-				o, fault := k.Change(context.Background(), core.KeySites, func(register.Cell) []byte {
+				o, fault := k.Change(context.Background(), core.KeySites, func(register.Entry) []byte {
 					return []byte(fmt.Sprintf(`{"empty":{"z":%t}}`, empty))
 				})
 				return answerOf(o, fault)
@@ -292,7 +292,7 @@
 }
 
 // newest is the newest cell of a key that any node's permit has shown: it is chosen.
-func newest(f *operated, key string) (best register.Cell) {
+func newest(f *operated, key string) (best register.Entry) {
 	for _, n := range f.Nodes {
 		if n.Core != nil && n.Core.Keeper.Cell(key).Newer(best) {
 			best = n.Core.Keeper.Cell(key)
--- a/sim/world.go
+++ b/sim/world.go
@@ -165,9 +165,9 @@
 	Disk     *Disk      // nil without one
 	Offset   time.Duration
 	Log      []string
-	Adopted  map[string]register.Cell
+	Adopted  map[string]register.Entry
 	// OnAdopt hears of each cell that comes in force.
-	OnAdopt func(key string, cell register.Cell)
+	OnAdopt func(key string, cell register.Entry)
 	// Rejoins counts table changes, for figures of quiet.
 	Changes int
 
@@ -216,7 +216,7 @@
 
 // Add makes one node that is down.
 func (w *World) Add(s settings.Settings) *Node {
-	n := &Node{World: w, Addr: s.Listen, Settings: s, Offset: time.Duration(w.Rand.Int64N(int64(time.Hour))), Adopted: map[string]register.Cell{}}
+	n := &Node{World: w, Addr: s.Listen, Settings: s, Offset: time.Duration(w.Rand.Int64N(int64(time.Hour))), Adopted: map[string]register.Entry{}}
 	w.Nodes = append(w.Nodes, n)
 	w.byAddr[n.Addr] = n
 	return n
@@ -251,7 +251,7 @@
 			acceptor.Replay(rec)
 		}
 	}
-	n.Adopted = map[string]register.Cell{}
+	n.Adopted = map[string]register.Entry{}
 	n.Core = core.New(s, acceptor, ports{n})
 	if len(s.Founders) == 0 || n.Settings.Size == 0 {
 		n.Settings.Later = true // from its second life on
@@ -442,7 +442,7 @@
 
 func (p ports) TableChanged(calot.Entry, bool) { p.n.Changes++ }
 
-func (p ports) Adopted(key string, cell register.Cell) {
+func (p ports) Adopted(key string, cell register.Entry) {
 	p.n.Adopted[key] = cell
 	if p.n.OnAdopt != nil {
 		p.n.OnAdopt(key, cell)
--- a/tenure/model_test.go
+++ b/tenure/model_test.go
@@ -79,7 +79,7 @@
 	holder  *register.Holder
 	keeper  *lease.Keeper
 	tenure  *tenure.Tenure
-	written register.Cell
+	written register.Entry
 	writing bool
 	drafts  []draft
 }
@@ -107,11 +107,11 @@
 	}})
 }
 
-func (n *modelNode) Set() quorum.Set             { return n.m.set }
-func (n *modelNode) NewSet(quorum.Set)           {}
-func (n *modelNode) Relays() []string            { return nil }
-func (n *modelNode) Adopt(string, register.Cell) {}
-func (n *modelNode) Settle(key string)           { n.read(key) }
+func (n *modelNode) Set() quorum.Set              { return n.m.set }
+func (n *modelNode) NewSet(quorum.Set)            {}
+func (n *modelNode) Relays() []string             { return nil }
+func (n *modelNode) Adopt(string, register.Entry) {}
+func (n *modelNode) Settle(key string)            { n.read(key) }
 func (n *modelNode) read(key string) {
 	n.holder.Do(register.Request{Key: key, Read: true, Patience: time.Second}, func(register.Result) {})
 }
@@ -146,7 +146,7 @@
 	return m
 }
 
-func baseOf(cell register.Cell) tenure.Base {
+func baseOf(cell register.Entry) tenure.Base {
 	base := tenure.Base{Serial: cell.Serial, Epoch: cell.Epoch.Count}
 	if cell.Serial > 0 {
 		_ = json.Unmarshal(cell.Value, &base.Record)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -183,7 +183,7 @@
 	return to.SetHolder(e.Holder)
 }
 
-func putCell(to Cell, err error, c register.Cell) error {
+func putCell(to Cell, err error, c register.Entry) error {
 	if err != nil {
 		return err
 	}
@@ -222,12 +222,12 @@
 	return register.Epoch{Count: e.Count(), Holder: r.text(e.Holder())}
 }
 
-func (r *reader) cell(c Cell, err error) register.Cell {
+func (r *reader) cell(c Cell, err error) register.Entry {
 	r.note(err)
 	if err != nil {
-		return register.Cell{}
+		return register.Entry{}
 	}
-	return register.Cell{Epoch: r.epoch(c.Epoch()), Serial: c.Serial(), Op: r.text(c.Op()), Value: r.data(c.Value())}
+	return register.Entry{Epoch: r.epoch(c.Epoch()), Serial: c.Serial(), Op: r.text(c.Op()), Value: r.data(c.Value())}
 }
 
 func (r *reader) set(s DiskSet, err error) quorum.Set {
@@ -301,8 +301,8 @@
 		s, err2 := f.NewPledge()
 		err = putSet(s, err2, m.Pledge)
 	}
-	if err == nil && len(m.Cells) > 0 {
-		err = putCells(f, m.Cells)
+	if err == nil && len(m.Entries) > 0 {
+		err = putCells(f, m.Entries)
 	}
 	if err == nil && len(m.Digests) > 0 {
 		var list capnp.UInt64List
@@ -330,7 +330,7 @@
 	return msg, errors.Trace(err)
 }
 
-func putCells(f Frame, cells []register.KeyCell) error {
+func putCells(f Frame, cells []register.KeyEntry) error {
 	list, err := f.NewCells(int32(len(cells)))
 	if err != nil {
 		return err
@@ -340,7 +340,7 @@
 		at.SetBare(kc.Bare)
 		promised, err1 := at.NewPromised()
 		cell, err2 := at.NewCell()
-		if err := firstErr(at.SetKey(kc.Key), putEpoch(promised, err1, kc.Promised), putCell(cell, err2, kc.Cell)); err != nil {
+		if err := firstErr(at.SetKey(kc.Key), putEpoch(promised, err1, kc.Promised), putCell(cell, err2, kc.Entry)); err != nil {
 			return err
 		}
 	}
@@ -373,11 +373,11 @@
 	cells, err := f.Cells()
 	r.note(err)
 	if err == nil && cells.Len() > 0 && cells.Len() <= maxEntries {
-		m.Cells = make([]register.KeyCell, cells.Len())
-		for i := range m.Cells {
+		m.Entries = make([]register.KeyEntry, cells.Len())
+		for i := range m.Entries {
 			at := cells.At(i)
-			m.Cells[i] = register.KeyCell{
-				Key: r.text(at.Key()), Promised: r.epoch(at.Promised()), Cell: r.cell(at.Cell()), Bare: at.Bare(),
+			m.Entries[i] = register.KeyEntry{
+				Key: r.text(at.Key()), Promised: r.epoch(at.Promised()), Entry: r.cell(at.Cell()), Bare: at.Bare(),
 			}
 		}
 	}
