--- a/bench/virtual/days_test.go
+++ b/bench/virtual/days_test.go
@@ -68,7 +68,7 @@
 		}
 		work.Start(log.Run)
 		a := register.NewAcceptor("d", "here", diskLog{log})
-		a.Replay(register.Message{Kind: register.KindSet, Set: quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "d", Addr: "here"}}}})
+		a.Replay(register.Message{Kind: register.KindSet, Set: quorum.VoterSet{Serial: 1, Disks: []quorum.Disk{{Identity: "d", Addr: "here"}}}})
 		say := func(m register.Message) {
 			m.Set.Serial = 1
 			a.Handle(m, func(out register.Message) {
--- a/core/change.go
+++ b/core/change.go
@@ -41,11 +41,11 @@
 func (c *Core) catchUp() time.Duration { return c.settings.Bounds.CatchUp.D() }
 
 // copying tells whether this disk is being admitted and has not copied everything.
-func (c *Core) copying(set quorum.Set) bool {
+func (c *Core) copying(set quorum.VoterSet) bool {
 	return c.joining(set) && c.change.readyFor != set.Serial
 }
 
-func (c *Core) joining(set quorum.Set) bool {
+func (c *Core) joining(set quorum.VoterSet) bool {
 	if c.Acceptor == nil || len(set.Next) == 0 {
 		return false
 	}
@@ -64,7 +64,7 @@
 	}
 	c.change.taken[from] = true
 	c.change.floor = max(c.change.floor, floor)
-	old := quorum.Set{Serial: serial, Disks: set.Disks}
+	old := quorum.VoterSet{Serial: serial, Disks: set.Disks}
 	if !old.Majority(func(d string) bool { return c.change.taken[d] }) {
 		return
 	}
@@ -107,7 +107,7 @@
 	case len(set.Next) > 0:
 		c.finishChange(now, set)
 	default:
-		c.record(set, quorum.Set{Serial: set.Serial + 1, Disks: set.Disks, Next: next})
+		c.record(set, quorum.VoterSet{Serial: set.Serial + 1, Disks: set.Disks, Next: next})
 	}
 }
 
@@ -129,10 +129,10 @@
 }
 
 // wanted finds the disks that should vote instead of a set's, nil where these are right.
-func (c *Core) wanted(now time.Duration, set quorum.Set) []quorum.Disk {
+func (c *Core) wanted(now time.Duration, set quorum.VoterSet) []quorum.Disk {
 	served, at := c.servedDisks()
 	var members, fresh []quorum.Candidate
-	sees := quorum.Set{Serial: set.Serial, Disks: set.Disks}.Majority(func(d string) bool { return served[d].Addr != "" })
+	sees := quorum.VoterSet{Serial: set.Serial, Disks: set.Disks}.Majority(func(d string) bool { return served[d].Addr != "" })
 	whole := true
 	for _, d := range set.Disks {
 		e, _, _ := c.Member.Known(d.Addr)
@@ -215,7 +215,7 @@
 // finishChange sends the joint set out again, asks the new disks whether they
 // are ready, and ends the change when they are. A new disk that is lost on the way, or
 // does not get ready, is left out again: the old disks never stopped to vote.
-func (c *Core) finishChange(now time.Duration, set quorum.Set) {
+func (c *Core) finishChange(now time.Duration, set quorum.VoterSet) {
 	if c.change.joint != set.Serial {
 		c.change.joint, c.change.since, c.change.spreadAt = set.Serial, now, 0
 		c.change.ask = c.ports.Uint64() // one for the whole change: a slow disk's word counts when it comes
@@ -239,11 +239,11 @@
 		}
 	}
 	if ready {
-		c.record(set, quorum.Set{Serial: set.Serial + 1, Disks: set.Next})
+		c.record(set, quorum.VoterSet{Serial: set.Serial + 1, Disks: set.Next})
 		return
 	}
 	if lost {
-		c.record(set, quorum.Set{Serial: set.Serial + 1, Disks: set.Disks, Next: c.wanted(now, set)})
+		c.record(set, quorum.VoterSet{Serial: set.Serial + 1, Disks: set.Disks, Next: c.wanted(now, set)})
 		return
 	}
 	for _, d := range set.Next {
@@ -265,7 +265,7 @@
 }
 
 // spread sends a set to its disks and to the whole cohort.
-func (c *Core) spread(set quorum.Set) {
+func (c *Core) spread(set quorum.VoterSet) {
 	sent := map[string]bool{c.Self(): true}
 	send := func(addr string) {
 		if !sent[addr] {
@@ -283,7 +283,7 @@
 
 // record decides the next set through its register, and only then uses it. Where this
 // node does not reach the disks itself, the next nearest one performs the operation.
-func (c *Core) record(from, next quorum.Set) {
+func (c *Core) record(from, next quorum.VoterSet) {
 	if c.change.busy {
 		return
 	}
@@ -294,7 +294,7 @@
 			c.change.busy = false
 			return
 		}
-		var held quorum.Set
+		var held quorum.VoterSet
 		if r.Cell.Serial > 0 && json.Unmarshal(r.Cell.Value, &held) == nil && held.Serial > from.Serial {
 			// It was decided before, by a holder that did not live to say so.
 			c.change.busy = false
@@ -314,7 +314,7 @@
 	})
 }
 
-func (c *Core) decided(set quorum.Set) {
+func (c *Core) decided(set quorum.VoterSet) {
 	c.ports.Say(event.DiskSetDecided, event.Fields{"set": set.Serial, "disks": len(set.Disks), "next": len(set.Next)})
 	c.newSet(set)
 	c.spread(set)
--- a/core/core.go
+++ b/core/core.go
@@ -262,7 +262,7 @@
 }
 
 // newSet takes a disk set heard of, if it is newer, for asking and for this disk.
-func (c *Core) newSet(set quorum.Set) {
+func (c *Core) newSet(set quorum.VoterSet) {
 	if c.Holder.Adopt(set) {
 		c.ports.Say(event.DiskSetTaken, event.Fields{"set": set.Serial, "disks": len(set.Disks), "next": len(set.Next)})
 		c.Keeper.Void()
@@ -382,9 +382,9 @@
 
 type founding struct{ c *Core }
 
-func (f founding) NewSet(set quorum.Set) { f.c.newSet(set) }
+func (f founding) NewSet(set quorum.VoterSet) { f.c.newSet(set) }
 
-func (f founding) Founded(set quorum.Set) {
+func (f founding) Founded(set quorum.VoterSet) {
 	f.c.ports.Say(event.DiskFounded, event.Fields{"disks": len(set.Disks)})
 	f.c.newSet(set)
 }
@@ -395,9 +395,9 @@
 
 type keeping struct{ c *Core }
 
-func (k keeping) Set() quorum.Set       { return k.c.Holder.Set() }
-func (k keeping) NewSet(set quorum.Set) { k.c.newSet(set) }
-func (k keeping) Settle(key string)     { k.c.settle(key) }
+func (k keeping) Set() quorum.VoterSet       { return k.c.Holder.Set() }
+func (k keeping) NewSet(set quorum.VoterSet) { k.c.newSet(set) }
+func (k keeping) Settle(key string)          { k.c.settle(key) }
 func (k keeping) Adopt(key string, cell register.Entry) {
 	if key == KeyEngines {
 		k.c.Fresh.Holds(cell.Serial)
--- a/core/disk.go
+++ b/core/disk.go
@@ -61,7 +61,7 @@
 }
 
 // tellDisk has this node's disk take a set, if it is newer than its own.
-func (c *Core) tellDisk(set quorum.Set) {
+func (c *Core) tellDisk(set quorum.VoterSet) {
 	if c.Acceptor != nil {
 		c.Acceptor.Handle(register.Message{Kind: register.KindSet, Set: set}, func(register.Message) {})
 	}
--- a/core/look.go
+++ b/core/look.go
@@ -25,7 +25,7 @@
 	for _, d := range set.All() {
 		c.ports.Frame(d.Addr, register.Message{
 			Kind: register.KindQuery, Ask: c.nextLook, From: c.Self(),
-			Set: quorum.Set{Serial: set.Serial}, Entries: []register.KeyEntry{{Key: key}},
+			Set: quorum.VoterSet{Serial: set.Serial}, Entries: []register.KeyEntry{{Key: key}},
 		}, wire.Cohort{})
 	}
 }
--- a/core/mend.go
+++ b/core/mend.go
@@ -58,7 +58,7 @@
 
 // mendFrom lists the disks that one compares with that is being admitted: the old ones
 // that it has not copied yet, and of these the ones that somebody serves.
-func (c *Core) mendFrom(set quorum.Set) []quorum.Disk {
+func (c *Core) mendFrom(set quorum.VoterSet) []quorum.Disk {
 	taken := c.change.taken
 	if c.change.takenFor != set.Serial {
 		taken = nil
@@ -82,7 +82,7 @@
 
 func (c *Core) askDisk(to string, kind register.Kind, at uint32) {
 	c.ports.Frame(to, register.Message{
-		Kind: kind, Ask: c.mend.ask, From: c.Self(), Set: quorum.Set{Serial: c.mend.serial}, Range: at,
+		Kind: kind, Ask: c.mend.ask, From: c.Self(), Set: quorum.VoterSet{Serial: c.mend.serial}, Range: at,
 	}, wire.Cohort{})
 }
 
--- a/lease/fetch.go
+++ b/lease/fetch.go
@@ -21,7 +21,7 @@
 const fetchAsk = 1 << 63
 
 // value gives the chosen cell with its value, or has it asked for.
-func (k *Keeper) value(set quorum.Set, key string, cell register.Entry) (register.Entry, bool) {
+func (k *Keeper) value(set quorum.VoterSet, key string, cell register.Entry) (register.Entry, bool) {
 	f := k.fetches[key]
 	if f == nil || !f.cell.Same(cell) {
 		f = &fetch{cell: cell}
@@ -44,7 +44,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(k.self))
 	m := register.Message{
-		Kind: register.KindQuery, Ask: k.ask | fetchAsk, From: k.self, Set: quorum.Set{Serial: set.Serial},
+		Kind: register.KindQuery, Ask: k.ask | fetchAsk, From: k.self, Set: quorum.VoterSet{Serial: set.Serial},
 		Entries: []register.KeyEntry{{Key: key}},
 	}
 	to := show[(int(h.Sum32()>>8)+f.tries)%len(show)]
--- a/lease/interleave_test.go
+++ b/lease/interleave_test.go
@@ -32,8 +32,8 @@
 // for its permit meanwhile. Every message and every reply is a choice.
 type scene struct {
 	clock  clock
-	set    quorum.Set
-	asked  quorum.Set // the set that the keeper counts by: a planted keeper's is wrong
+	set    quorum.VoterSet
+	asked  quorum.VoterSet // the set that the keeper counts by: a planted keeper's is wrong
 	disks  map[string]*register.Acceptor
 	queue  []func()
 	keeper *Keeper
@@ -80,16 +80,16 @@
 	toDisks{w.s, func(r register.Message) { w.s.relay.Receive(r) }}.Send(to, m)
 }
 
-func (s *scene) Set() quorum.Set   { return s.asked }
-func (s *scene) NewSet(quorum.Set) {}
-func (s *scene) Relays() []string  { return s.relays }
-func (s *scene) Settle(string)     {}
+func (s *scene) Set() quorum.VoterSet   { return s.asked }
+func (s *scene) NewSet(quorum.VoterSet) {}
+func (s *scene) Relays() []string       { return s.relays }
+func (s *scene) Settle(string)          {}
 
 // Adopt judges: what comes in force must stand on a majority by then.
 func (s *scene) Adopt(_ string, cell register.Entry) {
 	held := 0
 	for _, d := range s.disks {
-		d.Handle(register.Message{Kind: register.KindQuery, Set: quorum.Set{Serial: 1}, Entries: []register.KeyEntry{{Key: "desk"}}}, func(r register.Message) {
+		d.Handle(register.Message{Kind: register.KindQuery, Set: quorum.VoterSet{Serial: 1}, Entries: []register.KeyEntry{{Key: "desk"}}}, func(r register.Message) {
 			if r.Entries[0].Entry.Serial >= cell.Serial {
 				held++
 			}
@@ -109,7 +109,7 @@
 }
 
 func begin(planted bool) *scene {
-	s := &scene{clock: clock{time.Hour}, disks: map[string]*register.Acceptor{}, set: quorum.Set{Serial: 1}}
+	s := &scene{clock: clock{time.Hour}, disks: map[string]*register.Acceptor{}, set: quorum.VoterSet{Serial: 1}}
 	for i := range 3 {
 		id := fmt.Sprintf("d%d", i)
 		s.set.Disks = append(s.set.Disks, quorum.Disk{Identity: id, Addr: id})
@@ -123,10 +123,10 @@
 		a.Replay(register.Message{Kind: register.KindSet, Set: s.set})
 		s.disks[d.Addr] = a
 	}
-	s.holder = register.NewHolder("h", &s.clock, toDisks{s, func(m register.Message) { s.holder.Receive(m) }}, evenly{}, time.Second, func(quorum.Set) {})
+	s.holder = register.NewHolder("h", &s.clock, toDisks{s, func(m register.Message) { s.holder.Receive(m) }}, evenly{}, time.Second, func(quorum.VoterSet) {})
 	s.holder.Adopt(s.set)
 	s.keeper = New("k", &s.clock, fromKeeper{s}, s, TimingFor(2*time.Second), 1)
-	s.relay = NewRelay("r", &s.clock, fromRelay{s}, func() quorum.Set { return s.set }, TimingFor(2*time.Second), 1<<32)
+	s.relay = NewRelay("r", &s.clock, fromRelay{s}, func() quorum.VoterSet { return s.set }, TimingFor(2*time.Second), 1<<32)
 	s.holder.Do(register.Request{Key: "desk", Op: "one", Value: []byte("one"), Patience: time.Minute}, func(register.Result) {})
 	s.drain()
 	s.keeper.Want([]string{"desk"})
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -22,8 +22,8 @@
 
 // Ports is what a keeper needs of its node.
 type Ports interface {
-	Set() quorum.Set
-	NewSet(quorum.Set)
+	Set() quorum.VoterSet
+	NewSet(quorum.VoterSet)
 	// Settle asks the key's holder to finish a write that the disks disagree on.
 	Settle(key string)
 	// Adopt takes a cell that a majority holds.
@@ -158,7 +158,7 @@
 }
 
 // send asks the disks that have not replied yet.
-func (k *Keeper) send(set quorum.Set) {
+func (k *Keeper) send(set quorum.VoterSet) {
 	k.again = k.clock.Now() + k.timing.Renew/8
 	m := k.message(set)
 	for _, d := range set.All() {
@@ -168,8 +168,8 @@
 	}
 }
 
-func (k *Keeper) message(set quorum.Set) register.Message {
-	m := register.Message{Kind: register.KindQuery, Ask: k.ask, From: k.self, Set: quorum.Set{Serial: set.Serial}}
+func (k *Keeper) message(set quorum.VoterSet) register.Message {
+	m := register.Message{Kind: register.KindQuery, Ask: k.ask, From: k.self, Set: quorum.VoterSet{Serial: set.Serial}}
 	k.held = nil
 	for _, key := range k.keys {
 		cell := k.cells[key]
@@ -185,7 +185,7 @@
 
 // settle is called for a round that did not end: keys on which the disks that
 // replied differ are finished by their holder.
-func (k *Keeper) settle(set quorum.Set) {
+func (k *Keeper) settle(set quorum.VoterSet) {
 	if !set.Majority(func(d string) bool { return k.replies[d] != nil }) {
 		return
 	}
@@ -246,7 +246,7 @@
 
 // chosen finds the cell of a key that a majority of the disks holds alike. Any
 // later write that was answered with yes would show on one of them.
-func (k *Keeper) chosen(set quorum.Set, key string) (register.KeyEntry, bool) {
+func (k *Keeper) chosen(set quorum.VoterSet, key string) (register.KeyEntry, bool) {
 	for _, d := range set.All() {
 		mine, ok := k.replies[d.Identity][key]
 		if !ok {
@@ -262,7 +262,7 @@
 	return register.KeyEntry{}, false
 }
 
-func (k *Keeper) decide(set quorum.Set) {
+func (k *Keeper) decide(set quorum.VoterSet) {
 	found, lacking := map[string]register.KeyEntry{}, false
 	for _, key := range k.keys {
 		kc, ok := k.chosen(set, key)
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -11,18 +11,18 @@
 	Addr     string `json:"addr"`
 }
 
-// Set is the disks that vote. Next is filled only while a change is under way.
-type Set struct {
+// VoterSet is the disks that vote. Next is filled only while a change is under way.
+type VoterSet struct {
 	Serial uint64 `json:"serial"`
 	Disks  []Disk `json:"disks"`
 	Next   []Disk `json:"next,omitempty"`
 }
 
 // Formed tells whether there is a set at all.
-func (s Set) Formed() bool { return s.Serial > 0 && len(s.Disks) > 0 }
+func (s VoterSet) Formed() bool { return s.Serial > 0 && len(s.Disks) > 0 }
 
 // All lists each disk once, old ones first.
-func (s Set) All() []Disk {
+func (s VoterSet) All() []Disk {
 	out := append([]Disk(nil), s.Disks...)
 	for _, d := range s.Next {
 		if !has(s.Disks, d.Identity) {
@@ -33,10 +33,10 @@
 }
 
 // Has tells whether a disk votes in this set.
-func (s Set) Has(identity string) bool { return has(s.Disks, identity) || has(s.Next, identity) }
+func (s VoterSet) Has(identity string) bool { return has(s.Disks, identity) || has(s.Next, identity) }
 
 // Old tells whether a disk is of the set that is in use, not only of the next one.
-func (s Set) Old(identity string) bool { return has(s.Disks, identity) }
+func (s VoterSet) Old(identity string) bool { return has(s.Disks, identity) }
 
 func has(disks []Disk, identity string) bool {
 	for _, d := range disks {
@@ -48,7 +48,7 @@
 }
 
 // Majority tells whether the disks that said yes are enough.
-func (s Set) Majority(yes func(identity string) bool) bool {
+func (s VoterSet) Majority(yes func(identity string) bool) bool {
 	return s.Formed() && majority(s.Disks, yes) && (len(s.Next) == 0 || majority(s.Next, yes))
 }
 
@@ -63,7 +63,7 @@
 }
 
 // Equal compares two sets.
-func (s Set) Equal(o Set) bool {
+func (s VoterSet) Equal(o VoterSet) bool {
 	return s.Serial == o.Serial && same(s.Disks, o.Disks) && same(s.Next, o.Next)
 }
 
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -54,8 +54,8 @@
 	identity string
 	addr     string
 	log      Log
-	set      quorum.Set
-	pledge   quorum.Set
+	set      quorum.VoterSet
+	pledge   quorum.VoterSet
 	slots    map[string]*slot
 	ranges   [Ranges]map[string]*slot // the same slots, by range
 	digests  [Ranges]uint64           // kept up with every cell
@@ -79,7 +79,7 @@
 func (a *Acceptor) Identity() string { return a.identity }
 
 // Set is the disk set that this disk knows.
-func (a *Acceptor) Set() quorum.Set { return a.set }
+func (a *Acceptor) Set() quorum.VoterSet { return a.set }
 
 // State says how far the disk can be relied on.
 func (a *Acceptor) State() DiskState { return a.state }
@@ -420,7 +420,7 @@
 // from then on: it was never one of them, or it was taken out, and what it still holds
 // may be what nobody chose, under promises that the others have not copied. Only
 // what it copies when it is admitted counts (section 3.8). The floor stays.
-func (a *Acceptor) adopt(set quorum.Set) {
+func (a *Acceptor) adopt(set quorum.VoterSet) {
 	a.set = set
 	if set.Old(a.identity) {
 		return
--- a/register/acceptor_test.go
+++ b/register/acceptor_test.go
@@ -44,7 +44,7 @@
 
 func formed(d *disk) *Acceptor {
 	a := NewAcceptor("a", "addr", d)
-	a.Replay(Message{Kind: KindSet, Set: quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}})
+	a.Replay(Message{Kind: KindSet, Set: quorum.VoterSet{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}})
 	return a
 }
 
@@ -141,7 +141,7 @@
 	Convey("a suspect disk votes again only once its whole state is durable, and nothing changes that state before", t, func() {
 		d := &heldDisk{}
 		a := NewAcceptor("a", "addr", d)
-		set := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
+		set := quorum.VoterSet{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
 		a.Replay(Message{Kind: KindSet, Set: set})
 		said := Entry{Epoch: epoch(1, "h"), Serial: 1, Op: "said yes to"}
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: said.Epoch, Cell: said}).Yes, ShouldBeTrue)
@@ -164,7 +164,7 @@
 				So(out.Yes, ShouldBeFalse)
 				So(out.Reason, ShouldEqual, ReasonDisk)
 			}
-			a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 2, Disks: set.Disks}}, func(out Message) { So(out.Yes, ShouldBeFalse) })
+			a.Handle(Message{Kind: KindSet, Set: quorum.VoterSet{Serial: 2, Disks: set.Disks}}, func(out Message) { So(out.Yes, ShouldBeFalse) })
 			So(a.Mend(KeyEntry{Key: "sites", Entry: Entry{Epoch: epoch(9, "z"), Serial: 1}}, true), ShouldBeFalse)
 			a.Raise(5, func(err error) { So(err, ShouldEqual, ErrSuspect) })
 			So(a.Picture(), ShouldResemble, before)
@@ -199,7 +199,7 @@
 			},
 			"query": func(a *Acceptor) { say(a, Message{Kind: KindQuery}) },
 			"set": func(a *Acceptor) {
-				a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 2, Disks: a.Set().Disks}}, func(Message) {})
+				a.Handle(Message{Kind: KindSet, Set: quorum.VoterSet{Serial: 2, Disks: a.Set().Disks}}, func(Message) {})
 			},
 			"mend":  func(a *Acceptor) { a.Mend(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(1, "h"), Serial: 1}}, false) },
 			"raise": func(a *Acceptor) { a.Raise(3, func(error) {}) },
@@ -216,8 +216,8 @@
 	Convey("a pledge that was refused stands after the recovery, and no other is given", t, func() {
 		d := &disk{fails: true}
 		a := NewAcceptor("a", "addr", d)
-		mine := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
-		other := quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}, {Identity: "b", Addr: "b"}}}
+		mine := quorum.VoterSet{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}}}
+		other := quorum.VoterSet{Serial: 1, Disks: []quorum.Disk{{Identity: "a", Addr: "addr"}, {Identity: "b", Addr: "b"}}}
 		So(say(a, Message{Kind: KindPledge, Pledge: mine}).Yes, ShouldBeFalse)
 		d.fails = false
 		a.Recover(func(error) {})
@@ -283,9 +283,9 @@
 	Convey("a disk that is taken out of the set votes no more by what it held, though it is admitted again", t, func() {
 		other := quorum.Disk{Identity: "b", Addr: "b"}
 		mine := quorum.Disk{Identity: "a", Addr: "addr"}
-		admitted := quorum.Set{Serial: 5, Disks: []quorum.Disk{other}, Next: []quorum.Disk{mine, other}}
+		admitted := quorum.VoterSet{Serial: 5, Disks: []quorum.Disk{other}, Next: []quorum.Disk{mine, other}}
 		cell := Entry{Epoch: epoch(9, "h"), Serial: 1, Op: "chosen by nobody"}
-		for name, sets := range map[string][]quorum.Set{
+		for name, sets := range map[string][]quorum.VoterSet{
 			"it learns that it is out":         {{Serial: 2, Disks: []quorum.Disk{other}}, admitted},
 			"it first hears that it is wanted": {admitted},
 		} {
@@ -296,7 +296,7 @@
 				a.Handle(Message{Kind: KindSet, Set: set}, func(Message) {})
 			}
 			held := func(a *Acceptor) (out Message) {
-				a.Handle(Message{Kind: KindQuery, Set: quorum.Set{Serial: 5}, Entries: []KeyEntry{{Key: "desk"}}}, func(r Message) { out = r })
+				a.Handle(Message{Kind: KindQuery, Set: quorum.VoterSet{Serial: 5}, Entries: []KeyEntry{{Key: "desk"}}}, func(r Message) { out = r })
 				return out
 			}
 			SoMsg(name, held(a).Yes, ShouldBeTrue)
@@ -310,8 +310,8 @@
 				SoMsg(name, held(again).Entries[0].Entry.Op, ShouldEqual, "chosen")
 			}
 			// As the change ends, it keeps what it has copied.
-			a.Handle(Message{Kind: KindSet, Set: quorum.Set{Serial: 6, Disks: admitted.Next}}, func(Message) {})
-			a.Handle(Message{Kind: KindQuery, Set: quorum.Set{Serial: 6}, Entries: []KeyEntry{{Key: "desk"}}}, func(r Message) {
+			a.Handle(Message{Kind: KindSet, Set: quorum.VoterSet{Serial: 6, Disks: admitted.Next}}, func(Message) {})
+			a.Handle(Message{Kind: KindQuery, Set: quorum.VoterSet{Serial: 6}, Entries: []KeyEntry{{Key: "desk"}}}, func(r Message) {
 				So(r.Entries[0].Entry.Op, ShouldEqual, "chosen")
 			})
 		}
--- a/register/founder.go
+++ b/register/founder.go
@@ -10,8 +10,8 @@
 
 // FounderPorts is what founding reports to its node.
 type FounderPorts interface {
-	NewSet(quorum.Set)
-	Founded(quorum.Set)
+	NewSet(quorum.VoterSet)
+	Founded(quorum.VoterSet)
 	Stuck(reason string)
 }
 
@@ -32,7 +32,7 @@
 	due      time.Duration
 	ask      uint64
 	seen     map[string]Message // founder's address: what it said this round
-	wanted   quorum.Set
+	wanted   quorum.VoterSet
 	pledged  map[string]bool
 	said     bool
 	extra    func() []string // other nodes that may know the set
@@ -59,7 +59,7 @@
 }
 
 // Tick asks around while the set is unknown, and now and then afterwards.
-func (f *Founder) Tick(known quorum.Set) {
+func (f *Founder) Tick(known quorum.VoterSet) {
 	now := f.clock.Now()
 	if now < f.due {
 		return
@@ -69,7 +69,7 @@
 		f.due = now + 8*f.every
 	}
 	f.ask++
-	f.seen, f.pledged, f.wanted = map[string]Message{}, map[string]bool{}, quorum.Set{}
+	f.seen, f.pledged, f.wanted = map[string]Message{}, map[string]bool{}, quorum.VoterSet{}
 	asked := map[string]bool{}
 	for _, addr := range slices.Concat(f.founders, f.seeds, f.extra()) {
 		if !asked[addr] {
@@ -86,7 +86,7 @@
 	}
 	if in.Set.Formed() {
 		f.ports.NewSet(in.Set)
-		f.wanted = quorum.Set{}
+		f.wanted = quorum.VoterSet{}
 		f.seen = map[string]Message{}
 		return true
 	}
@@ -121,11 +121,11 @@
 		f.stuck("none of the founders has a disk that may found")
 		return
 	}
-	f.wanted = quorum.Set{Serial: 1, Disks: quorum.Sorted(disks)}
+	f.wanted = quorum.VoterSet{Serial: 1, Disks: quorum.Sorted(disks)}
 	for _, d := range disks {
 		if p := f.seen[d.Addr].Pledge; p.Formed() && !p.Equal(f.wanted) {
 			f.stuck("a founder is pledged to other disks: its data folder, or another founder's, was replaced before the first set was formed")
-			f.wanted = quorum.Set{}
+			f.wanted = quorum.VoterSet{}
 			return
 		}
 	}
@@ -152,7 +152,7 @@
 		}
 	}
 	founded := f.wanted
-	f.wanted = quorum.Set{}
+	f.wanted = quorum.VoterSet{}
 	f.ports.Founded(founded)
 	for _, d := range founded.Disks {
 		f.net.Send(d.Addr, Message{Kind: KindSet, From: f.self, Set: founded})
--- a/register/founder_test.go
+++ b/register/founder_test.go
@@ -24,8 +24,8 @@
 
 type founderPorts struct{ s *founding }
 
-func (p founderPorts) NewSet(set quorum.Set) {}
-func (p founderPorts) Founded(set quorum.Set) {
+func (p founderPorts) NewSet(set quorum.VoterSet) {}
+func (p founderPorts) Founded(set quorum.VoterSet) {
 	p.s.formed[fmt.Sprint(set.Disks)] = true
 }
 func (p founderPorts) Stuck(string) {}
@@ -72,7 +72,7 @@
 				s.queue = append(s.queue, func() {
 					s.clock.now += time.Minute
 					if f := founders[addr]; f != nil {
-						f.Tick(quorum.Set{})
+						f.Tick(quorum.VoterSet{})
 					}
 				})
 			}
@@ -88,7 +88,7 @@
 				net := &founderNet{s: s}
 				net.f = NewFounder(addr, s.addrs, nil, s.disks[addr], &s.clock, net, founderPorts{s}, time.Second, uint64(1000*i+500), func() []string { return nil })
 				founders[addr] = net.f
-				s.queue = append(s.queue, func() { net.f.Tick(quorum.Set{}) })
+				s.queue = append(s.queue, func() { net.f.Tick(quorum.VoterSet{}) })
 			})
 		}
 		for len(s.queue) > 0 {
--- a/register/holder.go
+++ b/register/holder.go
@@ -24,11 +24,11 @@
 	rand  Rand
 	round time.Duration // how long one round may take before it is tried anew
 
-	set     quorum.Set
+	set     quorum.VoterSet
 	held    map[string]*holding
 	asks    map[uint64]*holding
 	nextAsk uint64
-	newSet  func(quorum.Set)
+	newSet  func(quorum.VoterSet)
 
 	// Known is what this node knows of a key otherwise; nil: nothing. Disks that hold
 	// the same leave its value out of their promises.
@@ -67,7 +67,7 @@
 }
 
 // NewHolder makes a proposer. The first ask number should be random.
-func NewHolder(self string, clock Clock, net Net, rand Rand, round time.Duration, newSet func(quorum.Set)) *Holder {
+func NewHolder(self string, clock Clock, net Net, rand Rand, round time.Duration, newSet func(quorum.VoterSet)) *Holder {
 	return &Holder{
 		self: self, clock: clock, net: net, rand: rand, round: round, newSet: newSet,
 		held: map[string]*holding{}, asks: map[uint64]*holding{}, nextAsk: rand.Uint64() >> 8,
@@ -75,7 +75,7 @@
 }
 
 // Adopt takes a newer disk set; rounds under the older one start again.
-func (h *Holder) Adopt(set quorum.Set) bool {
+func (h *Holder) Adopt(set quorum.VoterSet) bool {
 	if set.Serial <= h.set.Serial {
 		return false
 	}
@@ -91,7 +91,7 @@
 }
 
 // Set is the disk set that this proposer works with.
-func (h *Holder) Set() quorum.Set { return h.set }
+func (h *Holder) Set() quorum.VoterSet { return h.set }
 
 // Held is the epoch under which this node holds a key, if it does.
 func (h *Holder) Held(key string) (Epoch, Entry, bool) {
@@ -162,7 +162,7 @@
 	hd.due = h.clock.Now() + h.round<<min(hd.late, 2)
 	hd.yes, hd.no = map[string]bool{}, map[string]bool{}
 	h.asks[hd.ask] = hd
-	m.Ask, m.From, m.Set = hd.ask, h.self, quorum.Set{Serial: h.set.Serial}
+	m.Ask, m.From, m.Set = hd.ask, h.self, quorum.VoterSet{Serial: h.set.Serial}
 	for _, d := range h.set.All() {
 		h.net.Send(d.Addr, m)
 	}
--- a/register/interleave_test.go
+++ b/register/interleave_test.go
@@ -24,9 +24,9 @@
 	forgets bool // the planted fault: a disk that has forgotten its promises
 }
 
-func newScene(disks int) (*scene, quorum.Set) {
+func newScene(disks int) (*scene, quorum.VoterSet) {
 	s := &scene{disks: map[string]*Acceptor{}}
-	set := quorum.Set{Serial: 1}
+	set := quorum.VoterSet{Serial: 1}
 	for i := range disks {
 		id := fmt.Sprintf("d%d", i)
 		set.Disks = append(set.Disks, quorum.Disk{Identity: id, Addr: id})
@@ -59,9 +59,9 @@
 
 func (evenly) Uint64() uint64 { return 0 }
 
-func (s *scene) holder(name string, set quorum.Set) *Holder {
+func (s *scene) holder(name string, set quorum.VoterSet) *Holder {
 	w := &wire{s: s}
-	w.h = NewHolder(name, &s.clock, w, evenly{}, 100*time.Millisecond, func(quorum.Set) {})
+	w.h = NewHolder(name, &s.clock, w, evenly{}, 100*time.Millisecond, func(quorum.VoterSet) {})
 	w.h.Adopt(set)
 	return w.h
 }
--- a/register/known_test.go
+++ b/register/known_test.go
@@ -21,13 +21,13 @@
 func (t *around) Uint64() uint64           { return 1 << 20 }
 
 func TestKnown(t *testing.T) {
-	set := quorum.Set{Serial: 1}
+	set := quorum.VoterSet{Serial: 1}
 	long := strings.Repeat("desk ", 2000)
 	cell := Entry{Epoch: epoch(1, "g"), Serial: 1, Op: "one", Value: []byte(long)}
 	begin := func() (*Acceptor, *around, *Holder) {
 		a, net := formed(&disk{}), &around{}
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: cell.Epoch, Cell: cell}).Yes, ShouldBeTrue)
-		h := NewHolder("h", net, net, net, time.Second, func(quorum.Set) {})
+		h := NewHolder("h", net, net, net, time.Second, func(quorum.VoterSet) {})
 		set.Disks = []quorum.Disk{{Identity: a.Identity(), Addr: "d"}}
 		h.Adopt(set)
 		return a, net, h
--- a/register/message.go
+++ b/register/message.go
@@ -108,8 +108,8 @@
 	Cell     Entry
 	Yes      bool
 	Reason   Reason
-	Set      quorum.Set
-	Pledge   quorum.Set
+	Set      quorum.VoterSet
+	Pledge   quorum.VoterSet
 	Entries  []KeyEntry
 	Base     uint64
 	Read     bool
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -152,14 +152,14 @@
 	nodes   []*modelNode
 	bag     []packet
 	results map[string]Result
-	sets    map[uint64]quorum.Set // each set that somebody decided on
+	sets    map[uint64]quorum.VoterSet // each set that somebody decided on
 	left    faults
 	losing  bool // replies are lost
 	fault   string
 }
 
-func namedSet(serial uint64, voters, next []string) quorum.Set {
-	set := quorum.Set{Serial: serial}
+func namedSet(serial uint64, voters, next []string) quorum.VoterSet {
+	set := quorum.VoterSet{Serial: serial}
 	for _, name := range voters {
 		set.Disks = append(set.Disks, quorum.Disk{Identity: name, Addr: name})
 	}
@@ -172,7 +172,7 @@
 // newModel makes the start: the first set is known to its disks, and each writer has
 // handed its write to a holder of its own.
 func newModel(s *scenario) *model {
-	m := &model{scene: s, clock: &hand{}, results: map[string]Result{}, sets: map[uint64]quorum.Set{}, left: s.faults}
+	m := &model{scene: s, clock: &hand{}, results: map[string]Result{}, sets: map[uint64]quorum.VoterSet{}, left: s.faults}
 	first := namedSet(1, s.voters, nil)
 	m.sets[1] = first
 	names := slices.Clone(s.voters)
@@ -208,7 +208,7 @@
 }
 
 // begin has one write acknowledged by a bare majority; what was sent to others is lost.
-func (m *model) begin(set quorum.Set) {
+func (m *model) begin(set quorum.VoterSet) {
 	n := m.node("begin", set)
 	m.order(n, Request{Key: modelKey, Op: "zero", Value: []byte("zero")})
 	for len(m.bag) > 0 {
@@ -235,7 +235,7 @@
 	m.prune()
 }
 
-func (m *model) node(name string, set quorum.Set) *modelNode {
+func (m *model) node(name string, set quorum.VoterSet) *modelNode {
 	n := &modelNode{name: name, ready: map[string]uint64{}}
 	n.holder = NewHolder(name, m.clock, modelNet{m}, evenly{}, modelRound, m.newSet(n))
 	n.holder.Adopt(set)
@@ -243,8 +243,8 @@
 	return n
 }
 
-func (m *model) newSet(n *modelNode) func(quorum.Set) {
-	return func(set quorum.Set) { n.holder.Adopt(set) }
+func (m *model) newSet(n *modelNode) func(quorum.VoterSet) {
+	return func(set quorum.VoterSet) { n.holder.Adopt(set) }
 }
 
 func (m *model) order(n *modelNode, req Request) {
@@ -275,29 +275,29 @@
 
 // --- the change of the voters, as in core/change.go ---
 
-func (m *model) joint(from quorum.Set) quorum.Set {
+func (m *model) joint(from quorum.VoterSet) quorum.VoterSet {
 	next := namedSet(0, m.scene.next, nil).Disks
 	if m.scene.plant == plantOneStep {
-		return quorum.Set{Serial: from.Serial + 1, Disks: next}
+		return quorum.VoterSet{Serial: from.Serial + 1, Disks: next}
 	}
-	return quorum.Set{Serial: from.Serial + 1, Disks: from.Disks, Next: next}
+	return quorum.VoterSet{Serial: from.Serial + 1, Disks: from.Disks, Next: next}
 }
 
 // wants is the set that a changer would record now, and whether there is one.
-func (m *model) wants(n *modelNode) (quorum.Set, bool) {
+func (m *model) wants(n *modelNode) (quorum.VoterSet, bool) {
 	set := n.holder.Set()
 	if len(set.Next) == 0 {
 		return m.joint(set), set.Serial == 1
 	}
 	if n.givesUp {
-		return quorum.Set{Serial: set.Serial + 1, Disks: set.Disks}, true
+		return quorum.VoterSet{Serial: set.Serial + 1, Disks: set.Disks}, true
 	}
 	for _, d := range set.Next {
 		if !set.Old(d.Identity) && n.ready[d.Identity] != set.Serial {
-			return quorum.Set{}, false
+			return quorum.VoterSet{}, false
 		}
 	}
-	return quorum.Set{Serial: set.Serial + 1, Disks: set.Next}, true
+	return quorum.VoterSet{Serial: set.Serial + 1, Disks: set.Next}, true
 }
 
 // record reads the register of the voters first, as core does.
@@ -315,7 +315,7 @@
 	if r.Outcome != Done {
 		return
 	}
-	var set quorum.Set
+	var set quorum.VoterSet
 	if err := json.Unmarshal(r.Cell.Value, &set); err != nil {
 		panic(err)
 	}
@@ -327,7 +327,7 @@
 	if r.Outcome != Done {
 		return
 	}
-	var held quorum.Set
+	var held quorum.VoterSet
 	if r.Cell.Serial > 0 && json.Unmarshal(r.Cell.Value, &held) == nil && held.Serial > n.holder.Set().Serial {
 		m.decided(n, held)
 		return
@@ -344,7 +344,7 @@
 	m.order(n, Request{Key: disksKey, Base: r.Cell.Serial, Op: fmt.Sprintf("%s/%d", n.name, next.Serial), Value: value})
 }
 
-func (m *model) decided(n *modelNode, set quorum.Set) {
+func (m *model) decided(n *modelNode, set quorum.VoterSet) {
 	if other, had := m.sets[set.Serial]; had && !other.Equal(set) {
 		m.fault = "two sets of voters under one serial"
 	}
@@ -390,7 +390,7 @@
 	}
 	d.asked[from] = true
 	m.bag = append(m.bag, packet{from, Message{
-		Kind: KindRange, From: d.addr, Range: rangeOf(disksKey), Set: quorum.Set{Serial: d.acceptor.Set().Serial},
+		Kind: KindRange, From: d.addr, Range: rangeOf(disksKey), Set: quorum.VoterSet{Serial: d.acceptor.Set().Serial},
 	}})
 }
 
@@ -407,7 +407,7 @@
 		d.takenFor, d.taken = set.Serial, map[string]bool{}
 	}
 	d.taken[in.From] = true
-	old := quorum.Set{Serial: set.Serial, Disks: set.Disks}
+	old := quorum.VoterSet{Serial: set.Serial, Disks: set.Disks}
 	if !old.Majority(func(id string) bool { return d.taken[id] }) {
 		return
 	}
@@ -665,7 +665,7 @@
 	if len(set.Next) > 0 || !set.Has(d.addr) {
 		return false
 	}
-	if len(m.scene.next) > 0 && !set.Equal(quorum.Set{Serial: set.Serial, Disks: namedSet(0, m.scene.next, nil).Disks}) {
+	if len(m.scene.next) > 0 && !set.Equal(quorum.VoterSet{Serial: set.Serial, Disks: namedSet(0, m.scene.next, nil).Disks}) {
 		return false
 	}
 	there := 0
@@ -681,7 +681,7 @@
 }
 
 // newest is the newest set that was decided.
-func (m *model) newest() (set quorum.Set, known bool) {
+func (m *model) newest() (set quorum.VoterSet, known bool) {
 	for _, s := range m.sets {
 		if s.Serial > set.Serial {
 			set = s
@@ -1025,7 +1025,7 @@
 
 func (w *writing) epoch(e Epoch) { w.num(e.Count); w.text(e.Holder) }
 func (w *writing) cell(c Entry)  { w.epoch(c.Epoch); w.num(c.Serial); w.text(c.Op) }
-func (w *writing) set(s quorum.Set) {
+func (w *writing) set(s quorum.VoterSet) {
 	w.num(s.Serial)
 	w.num(uint64(len(s.Next)))
 }
--- a/sim/behind_test.go
+++ b/sim/behind_test.go
@@ -142,18 +142,18 @@
 func oneStep(w *World) {
 	w.Tamper = func(_ *Node, _ string, m *register.Message) {
 		m.Set = withoutJoint(m.Set)
-		var held quorum.Set
+		var held quorum.VoterSet
 		if m.Key == core.KeyDisks && json.Unmarshal(m.Cell.Value, &held) == nil {
 			m.Cell.Value, _ = json.Marshal(withoutJoint(held))
 		}
 	}
 }
 
-func withoutJoint(set quorum.Set) quorum.Set {
+func withoutJoint(set quorum.VoterSet) quorum.VoterSet {
 	if len(set.Next) == 0 {
 		return set
 	}
-	return quorum.Set{Serial: set.Serial, Disks: set.Next}
+	return quorum.VoterSet{Serial: set.Serial, Disks: set.Next}
 }
 
 // copyHeldUp has a new disk hear no cell for long, while one disk alone holds what was
--- a/sim/world.go
+++ b/sim/world.go
@@ -603,8 +603,8 @@
 }
 
 // Set is the newest disk set that any node knows.
-func (w *World) Set() quorum.Set {
-	var out quorum.Set
+func (w *World) Set() quorum.VoterSet {
+	var out quorum.VoterSet
 	for _, n := range w.Nodes {
 		if n.Core != nil && n.Core.Holder.Set().Serial > out.Serial {
 			out = n.Core.Holder.Set()
--- a/tenure/model_test.go
+++ b/tenure/model_test.go
@@ -60,7 +60,7 @@
 	rand    *rand.Rand
 	now     time.Duration
 	planted planted
-	set     quorum.Set
+	set     quorum.VoterSet
 	disks   map[string]*register.Acceptor
 	nodes   []*modelNode
 	queue   []message
@@ -107,8 +107,8 @@
 	}})
 }
 
-func (n *modelNode) Set() quorum.Set              { return n.m.set }
-func (n *modelNode) NewSet(quorum.Set)            {}
+func (n *modelNode) Set() quorum.VoterSet         { return n.m.set }
+func (n *modelNode) NewSet(quorum.VoterSet)       {}
 func (n *modelNode) Relays() []string             { return nil }
 func (n *modelNode) Adopt(string, register.Entry) {}
 func (n *modelNode) Settle(key string)            { n.read(key) }
@@ -117,7 +117,7 @@
 }
 
 func newModel(seed uint64, p planted) *model {
-	m := &model{rand: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, planted: p, set: quorum.Set{Serial: 1}, disks: map[string]*register.Acceptor{}}
+	m := &model{rand: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, planted: p, set: quorum.VoterSet{Serial: 1}, disks: map[string]*register.Acceptor{}}
 	for i := range 3 {
 		id := fmt.Sprintf("d%d", i)
 		m.set.Disks = append(m.set.Disks, quorum.Disk{Identity: id, Addr: id})
@@ -129,7 +129,7 @@
 	}
 	for i := range 3 {
 		n := &modelNode{m: m, addr: fmt.Sprintf("n%d", i)}
-		n.holder = register.NewHolder(n.addr, m, n, m, modelBound/8, func(quorum.Set) {})
+		n.holder = register.NewHolder(n.addr, m, n, m, modelBound/8, func(quorum.VoterSet) {})
 		n.holder.Adopt(m.set)
 		n.keeper = lease.New(n.addr, m, n, n, lease.TimingFor(modelBound), uint64(i+1)<<40)
 		n.keeper.Want([]string{modelKey})
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -192,7 +192,7 @@
 	return firstErr(putEpoch(epoch, err, c.Epoch), to.SetOp(c.Op), to.SetValue(c.Value))
 }
 
-func putSet(to DiskSet, err error, s quorum.Set) error {
+func putSet(to DiskSet, err error, s quorum.VoterSet) error {
 	if err != nil {
 		return err
 	}
@@ -230,12 +230,12 @@
 	return register.Entry{Epoch: r.epoch(c.Epoch()), Serial: c.Serial(), Op: r.text(c.Op()), Value: r.data(c.Value())}
 }
 
-func (r *reader) set(s DiskSet, err error) quorum.Set {
+func (r *reader) set(s DiskSet, err error) quorum.VoterSet {
 	r.note(err)
 	if err != nil {
-		return quorum.Set{}
+		return quorum.VoterSet{}
 	}
-	return quorum.Set{Serial: s.Serial(), Disks: r.disks(s.Disks()), Next: r.disks(s.Next())}
+	return quorum.VoterSet{Serial: s.Serial(), Disks: r.disks(s.Disks()), Next: r.disks(s.Next())}
 }
 
 func (r *reader) disks(list Disk_List, err error) []quorum.Disk {
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -17,7 +17,7 @@
 	e := calot.Entry{Addr: "127.0.0.1:1", Incarnation: 7, HTTP: "127.0.0.1:2", Site: "north", Disk: "d1"}
 	d := calot.Message{Kind: calot.KindNotice, Seq: 9, From: e, Subject: e, Departed: true, Key: ring.Of("k"), Known: 3, Hops: 2}
 	cell := register.Entry{Epoch: register.Epoch{Count: 4, Holder: "a"}, Serial: 5, Op: "op", Value: []byte("value")}
-	set := quorum.Set{Serial: 2, Disks: []quorum.Disk{{Identity: "x", Addr: "y"}}, Next: []quorum.Disk{{Identity: "z", Addr: "w"}}}
+	set := quorum.VoterSet{Serial: 2, Disks: []quorum.Disk{{Identity: "x", Addr: "y"}}, Next: []quorum.Disk{{Identity: "z", Addr: "w"}}}
 	f := register.Message{
 		Kind: register.KindQueried, Ask: 1, From: "f", Disk: "d", Key: "k", Epoch: cell.Epoch, Cell: cell, Yes: true,
 		Reason: register.ReasonBusy, Set: set, Pledge: set, Base: 8, Read: true, Again: true, Outcome: register.Unknown,
