--- a/bench/virtual/days_test.go
+++ b/bench/virtual/days_test.go
@@ -99,7 +99,7 @@
 			}
 			keys += 35 - a.Forgot()
 			if log.Since() > 8<<20 {
-				state := a.Picture()
+				state := a.Snapshot()
 				log.Cut(func() ([][]byte, error) { return pack(state) })
 			}
 			lifecycle.Pause(context.Background(), time.Second)
--- a/core/core.go
+++ b/core/core.go
@@ -66,8 +66,8 @@
 	duties   map[string]*Duty
 	looks    map[uint64]*look
 	nextLook uint64
-	mend     mender
-	change   changer
+	mend     repairer
+	change   reconfiguration
 	recovery recovery
 	had      bool // a permit was held at the last tick
 	retiring bool // the node leaves in order, and its disk votes only until it is replaced
@@ -141,7 +141,7 @@
 	}
 	if c.Acceptor != nil {
 		c.tickDisk(now)
-		c.tickMend(now)
+		c.tickRepair(now)
 	}
 	c.tickChange(now)
 	if held := c.Keeper.Held(); held != c.had {
@@ -210,7 +210,7 @@
 	case register.KindName:
 		c.duty(m.Key).named = true
 	case register.KindDigests, register.KindCells:
-		c.receiveMend(m)
+		c.receiveRepair(m)
 	case register.KindCopy:
 		c.ports.Frame(m.From, register.Message{Kind: register.KindTable, From: c.Self()}, wire.Cohort{
 			Alive: c.Member.Alive(), Departed: c.Member.Departed(),
--- a/core/duty.go
+++ b/core/duty.go
@@ -96,10 +96,10 @@
 	c.Member.Leave()
 }
 
-// Rivalry keeps two nodes that both believe in their duty, as under an
+// ConflictBackoff keeps two nodes that both believe in their duty, as under an
 // asymmetric cut, from taking a key from each other again and again: whoever
 // lost it without having named a successor waits, longer each time.
-type Rivalry struct {
+type ConflictBackoff struct {
 	mine bool
 	lost time.Duration
 	wait time.Duration
@@ -107,7 +107,7 @@
 
 // MayTake is asked at each look at the key: holder tells whether it stands under
 // this node's epoch.
-func (r *Rivalry) MayTake(holder bool, now, holdDown time.Duration) bool {
+func (r *ConflictBackoff) MayTake(holder bool, now, holdDown time.Duration) bool {
 	switch {
 	case holder:
 		if r.wait > 0 && now-r.lost > 32*holdDown {
--- a/core/duty_test.go
+++ b/core/duty_test.go
@@ -9,7 +9,7 @@
 
 func TestRivalry(t *testing.T) {
 	Convey("two nodes that both believe in one duty take it from each other less and less", t, func() {
-		var rivals [2]Rivalry
+		var rivals [2]ConflictBackoff
 		holder, changes, last := -1, 0, time.Duration(0)
 		gap := time.Duration(0)
 		const holdDown = 3 * time.Second
@@ -29,7 +29,7 @@
 		holder, changes := -1, 0
 		for now := time.Second; now < 5*time.Minute; now += 250 * time.Millisecond {
 			for i := range 2 {
-				var forgetful Rivalry
+				var forgetful ConflictBackoff
 				if forgetful.MayTake(holder == i, now, 3*time.Second) && holder != i {
 					changes++
 					holder = i
--- a/core/change.go
+++ b/core/reconfiguration.go
@@ -12,13 +12,13 @@
 	"linedrum.example/linedrum/wire"
 )
 
-// changer replaces lost disks by new ones, and adds disks to a set that bears too
+// reconfiguration replaces lost disks by new ones, and adds disks to a set that bears too
 // little (section 3.8). The set to come is itself a register, so that one change at a
 // time is decided. First the joint set is recorded and sent out: from then on a
 // majority of both old and new disks is asked for. The new disks copy every cell from
 // a majority of the old ones, each of which has taken the joint set. Only then is the
 // new set alone recorded and sent out. Whoever has the duty carries on from the record.
-type changer struct {
+type reconfiguration struct {
 	due      time.Duration
 	spreadAt time.Duration
 	absent   map[string]time.Duration // voting disk: since when nobody serves it
--- a/core/mend.go
+++ b/core/repair.go
@@ -9,9 +9,9 @@
 	"linedrum.example/linedrum/wire"
 )
 
-// mender compares this disk's range digests with another disk's, one at a time,
+// repairer compares this disk's range digests with another disk's, one at a time,
 // and takes what is newer there (section 3.6).
-type mender struct {
+type repairer struct {
 	due     time.Duration
 	ask     uint64
 	from    string
@@ -23,7 +23,7 @@
 	compared map[string]bool
 }
 
-func (c *Core) tickMend(now time.Duration) {
+func (c *Core) tickRepair(now time.Duration) {
 	if forgot := c.Acceptor.Forgot(); forgot > 0 {
 		c.ports.Say(event.DiskPruned, event.Fields{"keys": forgot})
 	}
@@ -34,7 +34,7 @@
 	c.mend.due = now + c.settings.Bounds.Recovery.D()/2
 	disks := c.served(set.All(), c.mend.compared)
 	if c.copying(set) {
-		disks = c.mendFrom(set)
+		disks = c.repairSources(set)
 	}
 	if len(disks) > 0 {
 		// A disk that is being admitted copies with haste, and one that is back compares
@@ -56,9 +56,9 @@
 	}
 }
 
-// mendFrom lists the disks that one compares with that is being admitted: the old ones
+// repairSources lists the disks that one compares with that is being admitted: the old ones
 // that it has not copied yet, and of these the ones that somebody serves.
-func (c *Core) mendFrom(set quorum.VoterSet) []quorum.Disk {
+func (c *Core) repairSources(set quorum.VoterSet) []quorum.Disk {
 	taken := c.change.taken
 	if c.change.takenFor != set.Serial {
 		taken = nil
@@ -86,7 +86,7 @@
 	}, wire.Cohort{})
 }
 
-func (c *Core) receiveMend(m register.Message) {
+func (c *Core) receiveRepair(m register.Message) {
 	if c.Acceptor == nil || m.Ask != c.mend.ask || m.Disk != c.mend.from || !m.Yes {
 		return
 	}
@@ -101,7 +101,7 @@
 				c.askDisk(m.From, register.KindRange, uint32(i))
 			}
 		}
-		c.mendedFrom()
+		c.repairedFrom()
 		return
 	}
 	if !c.mend.waiting[m.Range] {
@@ -112,19 +112,19 @@
 	c.mend.due = max(c.mend.due, c.ports.Now()+min(c.settings.Bounds.Recovery.D()/12, c.catchUp()/8))
 	mended := 0
 	for _, kc := range m.Entries {
-		if c.Acceptor.Mend(kc, c.joining(c.Holder.Set())) {
+		if c.Acceptor.Repair(kc, c.joining(c.Holder.Set())) {
 			mended++
 		}
 	}
 	if mended > 0 {
 		c.ports.Say(event.DiskMended, event.Fields{"cells": mended, "from": m.Disk})
 	}
-	c.mendedFrom()
+	c.repairedFrom()
 }
 
-// mendedFrom notes that all of one disk's cells were taken over, once all
+// repairedFrom notes that all of one disk's cells were taken over, once all
 // ranges that differed have come.
-func (c *Core) mendedFrom() {
+func (c *Core) repairedFrom() {
 	if len(c.mend.waiting) > 0 {
 		return
 	}
--- a/node/disk.go
+++ b/node/disk.go
@@ -294,6 +294,6 @@
 	if acceptor == nil || !acceptor.Trusted() || n.disk.Since() <= cutAfter {
 		return
 	}
-	state := acceptor.Picture() // copied here; packed on the log's writer
+	state := acceptor.Snapshot() // copied here; packed on the log's writer
 	n.disk.Cut(func() ([][]byte, error) { return n.packRecords(state) })
 }
--- a/node/duty.go
+++ b/node/duty.go
@@ -137,7 +137,7 @@
 // duty, but for the planner.
 type post struct {
 	planner *roles.Planner
-	rival   core.Rivalry
+	rival   core.ConflictBackoff
 	tenure  *tenure.Tenure
 	written register.Entry // by this node, and chosen; the permit may not show it yet
 }
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -101,7 +101,7 @@
 		return
 	}
 	a.state = DiskRecovering
-	a.log.Recover(a.Picture(), func(err error) {
+	a.log.Recover(a.Snapshot(), func(err error) {
 		a.state = DiskTrusted
 		if err != nil {
 			a.state = DiskSuspect
@@ -163,8 +163,8 @@
 	return passing && window < a.floor
 }
 
-// Picture lists records that rebuild this state, for the log's pictures.
-func (a *Acceptor) Picture() []Message {
+// Snapshot lists records that rebuild this state, for the log's pictures.
+func (a *Acceptor) Snapshot() []Message {
 	out := []Message{{Kind: KindPrune, Floor: a.floor}}
 	if a.pledge.Formed() {
 		out = append(out, Message{Kind: KindPledge, Pledge: a.pledge})
@@ -429,11 +429,11 @@
 	a.ranges, a.digests = [Ranges]map[string]*slot{}, [Ranges]uint64{}
 }
 
-// Mend takes a newer accepted cell from another disk, as the accept message
+// Repair takes a newer accepted cell from another disk, as the accept message
 // that this disk missed (section 3.6). A disk that is being admitted takes it
 // even below its promise: whoever got that promise got one from a majority of
 // the old disks too, and so has seen what was chosen there (section 3.8).
-func (a *Acceptor) Mend(kc KeyEntry, admitted bool) bool {
+func (a *Acceptor) Repair(kc KeyEntry, admitted bool) bool {
 	if !a.Trusted() || kc.Entry.Serial == 0 {
 		return false
 	}
--- a/register/acceptor_test.go
+++ b/register/acceptor_test.go
@@ -81,13 +81,13 @@
 				So(out.Yes, ShouldBeFalse)
 				So(out.Reason, ShouldEqual, ReasonPassed)
 			}
-			So(a.Mend(KeyEntry{Key: passed, Entry: cell}, true), ShouldBeFalse)
+			So(a.Repair(KeyEntry{Key: passed, Entry: cell}, true), ShouldBeFalse)
 			So(say(a, Message{Kind: KindQuery, Entries: []KeyEntry{{Key: kept}}}).Entries[0].Entry, ShouldResemble, cell)
 			So(say(a, Message{Kind: KindQuery, Entries: []KeyEntry{{Key: "desk"}}}).Entries[0].Entry, ShouldResemble, cell)
 		}
 		refused(a)
 		// The same after a restart, from the records and from a picture.
-		for _, records := range [][]Message{d.records, a.Picture()} {
+		for _, records := range [][]Message{d.records, a.Snapshot()} {
 			again := formed(&disk{})
 			for _, rec := range records {
 				again.Replay(rec)
@@ -97,8 +97,8 @@
 		// And on a new disk that was admitted by copying from this one.
 		fresh := formed(&disk{})
 		fresh.Raise(say(a, Message{Kind: KindDigest}).Floor, func(error) {})
-		fresh.Mend(KeyEntry{Key: kept, Entry: cell}, true)
-		fresh.Mend(KeyEntry{Key: "desk", Entry: cell}, true)
+		fresh.Repair(KeyEntry{Key: kept, Entry: cell}, true)
+		fresh.Repair(KeyEntry{Key: "desk", Entry: cell}, true)
 		refused(fresh)
 	})
 	Convey("windows open one by one, the floor behind them, and it never falls", t, func() {
@@ -150,7 +150,7 @@
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: refused.Epoch, Cell: refused}).Reason, ShouldEqual, ReasonDisk)
 		d.fails = false
 		So(a.State(), ShouldEqual, DiskSuspect)
-		before := a.Picture()
+		before := a.Snapshot()
 		messages := []Message{
 			{Kind: KindPrepare, Key: "desk", Epoch: epoch(9, "z")},
 			{Kind: KindAccept, Key: "desk", Epoch: epoch(9, "z"), Cell: Entry{Epoch: epoch(9, "z"), Serial: 3}},
@@ -165,9 +165,9 @@
 				So(out.Reason, ShouldEqual, ReasonDisk)
 			}
 			a.Handle(Message{Kind: KindSet, Set: quorum.VoterSet{Serial: 2, Disks: set.Disks}}, func(out Message) { So(out.Yes, ShouldBeFalse) })
-			So(a.Mend(KeyEntry{Key: "sites", Entry: Entry{Epoch: epoch(9, "z"), Serial: 1}}, true), ShouldBeFalse)
+			So(a.Repair(KeyEntry{Key: "sites", Entry: Entry{Epoch: epoch(9, "z"), Serial: 1}}, true), ShouldBeFalse)
 			a.Raise(5, func(err error) { So(err, ShouldEqual, ErrSuspect) })
-			So(a.Picture(), ShouldResemble, before)
+			So(a.Snapshot(), ShouldResemble, before)
 		}
 		saysNo()
 		var ended error
@@ -189,7 +189,7 @@
 		for _, rec := range append(d.state, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(9, "z")}) {
 			again.Replay(rec)
 		}
-		So(again.Picture(), ShouldResemble, a.Picture())
+		So(again.Snapshot(), ShouldResemble, a.Snapshot())
 	})
 	Convey("each way to the log that is refused makes the disk suspect", t, func() {
 		for name, do := range map[string]func(a *Acceptor){
@@ -201,7 +201,9 @@
 			"set": func(a *Acceptor) {
 				a.Handle(Message{Kind: KindSet, Set: quorum.VoterSet{Serial: 2, Disks: a.Set().Disks}}, func(Message) {})
 			},
-			"mend":  func(a *Acceptor) { a.Mend(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(1, "h"), Serial: 1}}, false) },
+			"mend": func(a *Acceptor) {
+				a.Repair(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(1, "h"), Serial: 1}}, false)
+			},
 			"raise": func(a *Acceptor) { a.Raise(3, func(error) {}) },
 		} {
 			d := &disk{fails: true}
@@ -232,7 +234,7 @@
 		So(say(a, Message{Kind: KindAccept, Key: "desk", Epoch: epoch(3, "h"), Cell: Entry{Epoch: epoch(3, "h"), Serial: 2, Value: []byte("v")}}).Yes, ShouldBeTrue)
 		So(say(a, Message{Kind: KindPrepare, Key: "desk", Epoch: epoch(5, "i")}).Yes, ShouldBeTrue)
 		again := NewAcceptor("a", "addr", &disk{})
-		for _, rec := range a.Picture() {
+		for _, rec := range a.Snapshot() {
 			again.Replay(rec)
 		}
 		So(again.Digests(), ShouldResemble, a.Digests())
@@ -255,7 +257,7 @@
 		for i := range uint32(Ranges) {
 			for _, kc := range say(one, Message{Kind: KindRange, Range: i}).Entries {
 				So(kc.Entry, ShouldResemble, cells[kc.Key])
-				So(other.Mend(kc, false), ShouldBeTrue)
+				So(other.Repair(kc, false), ShouldBeTrue)
 			}
 		}
 		So(other.Digests(), ShouldResemble, one.Digests())
@@ -301,8 +303,8 @@
 			}
 			SoMsg(name, held(a).Yes, ShouldBeTrue)
 			SoMsg(name, held(a).Entries[0].Entry.Serial, ShouldEqual, 0)
-			So(a.Mend(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(5, "g"), Serial: 1, Op: "chosen"}}, true), ShouldBeTrue)
-			for _, records := range [][]Message{d.records, a.Picture()} {
+			So(a.Repair(KeyEntry{Key: "desk", Entry: Entry{Epoch: epoch(5, "g"), Serial: 1, Op: "chosen"}}, true), ShouldBeTrue)
+			for _, records := range [][]Message{d.records, a.Snapshot()} {
 				again := formed(&disk{})
 				for _, rec := range records {
 					again.Replay(rec)
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -401,7 +401,7 @@
 		return
 	}
 	for _, kc := range in.Entries {
-		d.acceptor.Mend(kc, true)
+		d.acceptor.Repair(kc, true)
 	}
 	if d.takenFor != set.Serial {
 		d.takenFor, d.taken = set.Serial, map[string]bool{}
@@ -751,7 +751,7 @@
 	if m.scene.plant == plantSnapshotUnsynced {
 		d.log.before = d.log.durable[:1] // the log that the snapshot covers is removed all the same
 	}
-	d.log.durable = d.acceptor.Picture()
+	d.log.durable = d.acceptor.Snapshot()
 }
 
 // Steps implements explore.Model.
--- a/sim/catchup_test.go
+++ b/sim/catchup_test.go
@@ -37,7 +37,7 @@
 
 // holds is the cell that a node's disk holds of a key.
 func (n *Node) holds(key string) (cell register.Entry) {
-	for _, rec := range n.Core.Acceptor.Picture() {
+	for _, rec := range n.Core.Acceptor.Snapshot() {
 		if rec.Kind == register.KindAccept && rec.Key == key {
 			cell = rec.Cell
 		}
