--- a/bench/slope/count.go
+++ b/bench/slope/count.go
@@ -159,7 +159,7 @@
 		c.held.DeskAt = time.Now().UnixNano()
 	case event.EngineSilent:
 		c.held.Silent++
-	case event.PermitLost:
+	case event.LeaseLost:
 		c.held.PermitsLost++
 	}
 	return nil
--- a/core/core.go
+++ b/core/core.go
@@ -147,9 +147,9 @@
 	if held := c.Keeper.Held(); held != c.had {
 		c.had = held
 		if held {
-			c.ports.Say(event.PermitHeld, nil)
+			c.ports.Say(event.LeaseHeld, nil)
 		} else {
-			c.ports.Say(event.PermitLost, nil)
+			c.ports.Say(event.LeaseLost, nil)
 		}
 	}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -41,8 +41,8 @@
 	RolesTaken     Number = 304
 	RoleOrdered    Number = 305
 	RoleBounced    Number = 306
-	PermitLost     Number = 307
-	PermitHeld     Number = 308
+	LeaseLost      Number = 307
+	LeaseHeld      Number = 308
 	DeskBounced    Number = 309
 	EngineSilent   Number = 311
 	EngineBack     Number = 312
@@ -89,8 +89,8 @@
 	RolesTaken:     "a role table is in force on this node",
 	RoleOrdered:    "an engine took a role",
 	RoleBounced:    "an engine did not take a role",
-	PermitLost:     "the permit ran out; new work is bounced",
-	PermitHeld:     "the permit is held again",
+	LeaseLost:      "the permit ran out; new work is bounced",
+	LeaseHeld:      "the permit is held again",
 	DeskBounced:    "a desk file was refused",
 	EngineSilent:   "an engine does not report its load",
 	EngineBack:     "an engine reports its load again",
@@ -127,7 +127,7 @@
 	switch n {
 	case DiskDamaged, DiskFailed, FoundingStuck, StartBounced:
 		entry.Error(Catalogue[n])
-	case DiskTorn, DiskUnopened, DiskReborn, PermitLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent, ListSilent:
+	case DiskTorn, DiskUnopened, DiskReborn, LeaseLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent, ListSilent:
 		entry.Warn(Catalogue[n])
 	case RequestDone:
 		entry.Debug(Catalogue[n])
--- a/lease/interleave_test.go
+++ b/lease/interleave_test.go
@@ -191,7 +191,7 @@
 		if askedAfter && s.keeper.Held() && s.keeper.Cell("desk").Serial < 2 {
 			return "a permit for a desk that was passed before it was asked for"
 		}
-		if s.keeper.Until() > s.keeper.sent+s.keeper.timing.Permit {
+		if s.keeper.Until() > s.keeper.sent+s.keeper.timing.Lease {
 			return "a permit that counts from later than it was asked for"
 		}
 	}
@@ -229,7 +229,7 @@
 		So(len(s.queue), ShouldEqual, 2) // whoever replied is not asked again
 		s.drain()
 		So(s.keeper.Held(), ShouldBeTrue)
-		So(s.keeper.Until(), ShouldEqual, asked+s.keeper.timing.Permit)
+		So(s.keeper.Until(), ShouldEqual, asked+s.keeper.timing.Lease)
 		s.clock.now += s.keeper.timing.Renew / 2
 		s.keeper.Tick()
 		So(s.queue, ShouldBeEmpty) // with a permit there is no hurry
@@ -265,10 +265,10 @@
 			s.keeper.Tick()
 			s.drain()
 			So(s.keeper.Held(), ShouldBeTrue)
-			So(s.keeper.Until(), ShouldBeLessThanOrEqualTo, s.keeper.sent+s.keeper.timing.Permit)
+			So(s.keeper.Until(), ShouldBeLessThanOrEqualTo, s.keeper.sent+s.keeper.timing.Lease)
 		}
 		s.relays = nil
-		s.clock.now += s.keeper.timing.Permit
+		s.clock.now += s.keeper.timing.Lease
 		s.keeper.Tick()
 		s.drain()
 		So(s.keeper.Held(), ShouldBeFalse)
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -34,11 +34,11 @@
 
 // Timing as ratios to the bound of section 1.3: a permit and the renewal under
 // way when it ran out together stay below the bound.
-type Timing struct{ Renew, Permit time.Duration }
+type Timing struct{ Renew, Lease time.Duration }
 
 // TimingFor derives the intervals from the in-force bound.
 func TimingFor(bound time.Duration) Timing {
-	return Timing{Renew: bound / 8, Permit: bound * 5 / 8}
+	return Timing{Renew: bound / 8, Lease: bound * 5 / 8}
 }
 
 // Keeper is not safe for concurrent use.
@@ -104,7 +104,7 @@
 func (k *Keeper) Until() time.Duration { return k.until }
 
 // Longest is how long a permit lasts at most, counted from when it was asked for.
-func (k *Keeper) Longest() time.Duration { return k.timing.Permit }
+func (k *Keeper) Longest() time.Duration { return k.timing.Lease }
 
 // Cell is what this node holds of a key.
 func (k *Keeper) Cell(key string) register.Entry { return k.cells[key] }
@@ -129,7 +129,7 @@
 		// While the permit runs out, those that have not replied hear the same ask again
 		// and again, also through others: they may just be coming back, or be cut off
 		// from here alone. The permit counts from the first time.
-		if k.open && now >= k.again && now >= k.until-k.timing.Permit/2 {
+		if k.open && now >= k.again && now >= k.until-k.timing.Lease/2 {
 			k.send(set)
 			k.carry()
 		}
@@ -302,7 +302,7 @@
 	}
 	// Adopting a desk may have added keys: then this round does not cover them.
 	if len(before) == len(k.keys) && (len(before) == 0 || &before[0] == &k.keys[0]) {
-		k.until = max(k.until, k.sent+k.timing.Permit)
+		k.until = max(k.until, k.sent+k.timing.Lease)
 		k.Granted++
 	}
 }
--- a/lease/relay.go
+++ b/lease/relay.go
@@ -32,7 +32,7 @@
 // NewRelay makes a relay that waits for replies as long as timing lets a permit last.
 // Its ask numbers must not meet those of the node's other askers, hence the first one.
 func NewRelay(self string, clock Clock, net Net, set func() quorum.VoterSet, timing Timing, firstAsk uint64) *Relay {
-	return &Relay{self: self, clock: clock, net: net, set: set, keep: timing.Permit, ask: firstAsk, pending: map[uint64]carried{}}
+	return &Relay{self: self, clock: clock, net: net, set: set, keep: timing.Lease, ask: firstAsk, pending: map[uint64]carried{}}
 }
 
 // Carry passes an ask to all disks.
