--- a/bench/virtual/days_test.go
+++ b/bench/virtual/days_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/once"
 	"linedrum.example/linedrum/quorum"
 	"linedrum.example/linedrum/register"
@@ -59,7 +59,7 @@
 	keys := 0
 	synctest.Test(t, func(*testing.T) {
 		disk := NewDisk()
-		work := crew.New(context.Background())
+		work := lifecycle.New(context.Background())
 		defer work.Stop()
 		folder := disk.Folder(NewNet(1).Add("here").Boot())
 		log, _, err := wal.Open(folder, 1<<30, nil)
@@ -68,7 +68,7 @@
 		}
 		work.Start(log.Run)
 		a := register.NewAcceptor("d", "here", diskLog{log})
-		a.Replay(register.Message{Kind: register.KindSet, Set: quorum.Set{Serial: 1, Disks: []quorum.Disk{{Identity: "d", Addr: "here"}}}})
+		a.Replay(register.Message{Kind: register.KindSet, Set: quorum.VoterSet{Serial: 1, Disks: []quorum.Disk{{Identity: "d", Addr: "here"}}}})
 		say := func(m register.Message) {
 			m.Set.Serial = 1
 			a.Handle(m, func(out register.Message) {
@@ -80,7 +80,7 @@
 		reply := []byte(`{"choices":[{"index":0,"text":"` + strings.Repeat("yes ", 100) + `","finish_reason":"stop"}]}`)
 		write := func(key string, serial, count uint64, value []byte) {
 			epoch := register.Epoch{Count: count, Holder: "10.0.0.1:7000"}
-			say(register.Message{Kind: register.KindAccept, Key: key, Epoch: epoch, Cell: register.Cell{Epoch: epoch, Serial: serial, Op: "10.0.0.1:7000#0123456789abcdef", Value: value}})
+			say(register.Message{Kind: register.KindAccept, Key: key, Epoch: epoch, Cell: register.Entry{Epoch: epoch, Serial: serial, Op: "10.0.0.1:7000#0123456789abcdef", Value: value}})
 		}
 		var windows register.Windows
 		for second := range minutes * 60 {
@@ -99,10 +99,10 @@
 			}
 			keys += 35 - a.Forgot()
 			if log.Since() > 8<<20 {
-				state := a.Picture()
+				state := a.Snapshot()
 				log.Cut(func() ([][]byte, error) { return pack(state) })
 			}
-			crew.Pause(context.Background(), time.Second)
+			lifecycle.Pause(context.Background(), time.Second)
 			if (second+1)%(minutes*15) == 0 {
 				held = append(held, disk.Size())
 			}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/desk"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/verdict"
 )
@@ -28,7 +28,7 @@
 func (r *registers) OpID() string       { return "op" }
 
 // Seen implements Registers: no order has been heard of.
-func (r *registers) Seen(string) register.Cell { return register.Cell{} }
+func (r *registers) Seen(string) register.Entry { return register.Entry{} }
 
 // Awake implements Registers: no scene freezes the node before its order is read.
 func (r *registers) Awake() bool { return true }
@@ -51,12 +51,12 @@
 }
 
 // stored is the desk register's cell with one file in it.
-func stored() register.Cell {
+func stored() register.Entry {
 	value, err := desk.Stored{}.Next([]byte(`{}`), "first", 1).Encode()
 	if err != nil {
 		panic(err)
 	}
-	return register.Cell{Serial: 1, Value: value}
+	return register.Entry{Serial: 1, Value: value}
 }
 
 // silent is a majority that is cut away: nothing comes back before the caller gives up.
@@ -75,7 +75,7 @@
 func TestEvidence(t *testing.T) {
 	// What was read right now is good for 3/8 of the bound, counted from when it was asked.
 	scene(t, func(ctx context.Context, _ register.Request) register.Result {
-		crew.Pause(ctx, 100*time.Millisecond)
+		lifecycle.Pause(ctx, 100*time.Millisecond)
 		return prompt(ctx, register.Request{})
 	}, func(r *registers, c *Control) {
 		shown, fault := c.DeskInForce(context.Background())
--- a/core/core.go
+++ b/core/core.go
@@ -31,7 +31,7 @@
 	// TableChanged hears of each change to the membership.
 	TableChanged(e calot.Entry, departed bool)
 	// Adopted hears of each control cell that comes in force on this node.
-	Adopted(key string, cell register.Cell)
+	Adopted(key string, cell register.Entry)
 }
 
 // Keys of the control state that every node holds a permit for (section 3.1).
@@ -66,8 +66,8 @@
 	duties   map[string]*Duty
 	looks    map[uint64]*look
 	nextLook uint64
-	mend     mender
-	change   changer
+	mend     repairer
+	change   reconfiguration
 	recovery recovery
 	had      bool // a permit was held at the last tick
 	retiring bool // the node leaves in order, and its disk votes only until it is replaced
@@ -141,15 +141,15 @@
 	}
 	if c.Acceptor != nil {
 		c.tickDisk(now)
-		c.tickMend(now)
+		c.tickRepair(now)
 	}
 	c.tickChange(now)
 	if held := c.Keeper.Held(); held != c.had {
 		c.had = held
 		if held {
-			c.ports.Say(event.PermitHeld, nil)
+			c.ports.Say(event.LeaseHeld, nil)
 		} else {
-			c.ports.Say(event.PermitLost, nil)
+			c.ports.Say(event.LeaseLost, nil)
 		}
 	}
 }
@@ -210,7 +210,7 @@
 	case register.KindName:
 		c.duty(m.Key).named = true
 	case register.KindDigests, register.KindCells:
-		c.receiveMend(m)
+		c.receiveRepair(m)
 	case register.KindCopy:
 		c.ports.Frame(m.From, register.Message{Kind: register.KindTable, From: c.Self()}, wire.Cohort{
 			Alive: c.Member.Alive(), Departed: c.Member.Departed(),
@@ -262,7 +262,7 @@
 }
 
 // newSet takes a disk set heard of, if it is newer, for asking and for this disk.
-func (c *Core) newSet(set quorum.Set) {
+func (c *Core) newSet(set quorum.VoterSet) {
 	if c.Holder.Adopt(set) {
 		c.ports.Say(event.DiskSetTaken, event.Fields{"set": set.Serial, "disks": len(set.Disks), "next": len(set.Next)})
 		c.Keeper.Void()
@@ -382,9 +382,9 @@
 
 type founding struct{ c *Core }
 
-func (f founding) NewSet(set quorum.Set) { f.c.newSet(set) }
+func (f founding) NewSet(set quorum.VoterSet) { f.c.newSet(set) }
 
-func (f founding) Founded(set quorum.Set) {
+func (f founding) Founded(set quorum.VoterSet) {
 	f.c.ports.Say(event.DiskFounded, event.Fields{"disks": len(set.Disks)})
 	f.c.newSet(set)
 }
@@ -395,10 +395,10 @@
 
 type keeping struct{ c *Core }
 
-func (k keeping) Set() quorum.Set       { return k.c.Holder.Set() }
-func (k keeping) NewSet(set quorum.Set) { k.c.newSet(set) }
-func (k keeping) Settle(key string)     { k.c.settle(key) }
-func (k keeping) Adopt(key string, cell register.Cell) {
+func (k keeping) Set() quorum.VoterSet       { return k.c.Holder.Set() }
+func (k keeping) NewSet(set quorum.VoterSet) { k.c.newSet(set) }
+func (k keeping) Settle(key string)          { k.c.settle(key) }
+func (k keeping) Adopt(key string, cell register.Entry) {
 	if key == KeyEngines {
 		k.c.Fresh.Holds(cell.Serial)
 	}
--- a/link/silence_test.go
+++ b/link/silence_test.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"linedrum.example/linedrum/calot"
-	"linedrum.example/linedrum/crew"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/wire"
 )
@@ -36,7 +36,7 @@
 
 func TestEndUnacknowledged(t *testing.T) {
 	Convey("a connection to another node ends when nothing is acknowledged for the link's timeout", t, func() {
-		group := crew.New(context.Background())
+		group := lifecycle.New(context.Background())
 		defer group.Stop()
 		const timeout = 1250 * time.Millisecond
 		peer, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/list.go
+++ b/node/list.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"linedrum.example/linedrum/core"
-	"linedrum.example/linedrum/crew"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
@@ -48,7 +48,7 @@
 	}
 	timing := n.core.Fresh.Timing()
 	had := listing{calls: 1}
-	crew.Every(ctx, timing.Every/5, func() {
+	lifecycle.Every(ctx, timing.Every/5, func() {
 		n.mu.Lock()
 		now := n.clock.Now()
 		held := n.core.Hold(keyList) && n.core.Keeper.Held()
@@ -121,7 +121,7 @@
 // record writes the list on top of the one in force where they differ, and tells under
 // which serial the register holds what was seen. What an edit that came between makes
 // stale is seen anew at the next turn.
-func (n *Node) record(ctx context.Context, cell register.Cell, engines []engine.Listed, view sitesView, had *listing) (uint64, bool) {
+func (n *Node) record(ctx context.Context, cell register.Entry, engines []engine.Listed, view sitesView, had *listing) (uint64, bool) {
 	next, changed := had.next(cell, engines, view)
 	if !changed {
 		return cell.Serial, true
@@ -147,7 +147,7 @@
 
 // next is the list to be recorded on top of the one in a cell after a look; false where
 // that one says the same.
-func (l *listing) next(cell register.Cell, engines []engine.Listed, view sitesView) (engine.List, bool) {
+func (l *listing) next(cell register.Entry, engines []engine.Listed, view sitesView) (engine.List, bool) {
 	var held engine.List
 	_ = json.Unmarshal(cell.Value, &held)
 	changed := cell.Serial == 0 || differ(held.Engines, engines) || l.colder(engines) ||
--- a/register/holder.go
+++ b/register/holder.go
@@ -24,15 +24,15 @@
 	rand  Rand
 	round time.Duration // how long one round may take before it is tried anew
 
-	set     quorum.Set
+	set     quorum.VoterSet
 	held    map[string]*holding
 	asks    map[uint64]*holding
 	nextAsk uint64
-	newSet  func(quorum.Set)
+	newSet  func(quorum.VoterSet)
 
 	// Known is what this node knows of a key otherwise; nil: nothing. Disks that hold
 	// the same leave its value out of their promises.
-	Known func(key string) Cell
+	Known func(key string) Entry
 }
 
 type holding struct {
@@ -40,9 +40,9 @@
 	prepared bool // our epoch was promised by a majority and nobody refused it since
 	epoch    Epoch
 	highest  uint64 // highest count seen anywhere
-	cell     Cell
-	known    Cell // its value need not be sent by disks that hold the same
-	late     uint // rounds in a row that did not end in time
+	cell     Entry
+	known    Entry // its value need not be sent by disks that hold the same
+	late     uint  // rounds in a row that did not end in time
 	queue    []*job
 	used     time.Duration
 
@@ -52,9 +52,9 @@
 	waitTo  time.Duration // between tries
 	yes     map[string]bool
 	no      map[string]bool
-	adopted Cell
-	agree   map[string]Cell
-	writing Cell
+	adopted Entry
+	agree   map[string]Entry
+	writing Entry
 	settles bool // the accept round rewrites what was found
 }
 
@@ -67,7 +67,7 @@
 }
 
 // NewHolder makes a proposer. The first ask number should be random.
-func NewHolder(self string, clock Clock, net Net, rand Rand, round time.Duration, newSet func(quorum.Set)) *Holder {
+func NewHolder(self string, clock Clock, net Net, rand Rand, round time.Duration, newSet func(quorum.VoterSet)) *Holder {
 	return &Holder{
 		self: self, clock: clock, net: net, rand: rand, round: round, newSet: newSet,
 		held: map[string]*holding{}, asks: map[uint64]*holding{}, nextAsk: rand.Uint64() >> 8,
@@ -75,7 +75,7 @@
 }
 
 // Adopt takes a newer disk set; rounds under the older one start again.
-func (h *Holder) Adopt(set quorum.Set) bool {
+func (h *Holder) Adopt(set quorum.VoterSet) bool {
 	if set.Serial <= h.set.Serial {
 		return false
 	}
@@ -91,13 +91,13 @@
 }
 
 // Set is the disk set that this proposer works with.
-func (h *Holder) Set() quorum.Set { return h.set }
+func (h *Holder) Set() quorum.VoterSet { return h.set }
 
 // Held is the epoch under which this node holds a key, if it does.
-func (h *Holder) Held(key string) (Epoch, Cell, bool) {
+func (h *Holder) Held(key string) (Epoch, Entry, bool) {
 	hd := h.held[key]
 	if hd == nil || !hd.prepared {
-		return Epoch{}, Cell{}, false
+		return Epoch{}, Entry{}, false
 	}
 	return hd.epoch, hd.cell, true
 }
@@ -130,23 +130,23 @@
 	}
 	j := hd.queue[0]
 	if hd.prepared && !j.req.Read && hd.cell.Serial == j.req.Base {
-		h.write(hd, Cell{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
+		h.write(hd, Entry{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
 		return
 	}
 	hd.prepared = false
 	hd.highest = max(hd.highest, hd.epoch.Count) + 1
 	hd.epoch = Epoch{Count: hd.highest, Holder: h.self}
-	hd.adopted, hd.agree = Cell{}, map[string]Cell{}
+	hd.adopted, hd.agree = Entry{}, map[string]Entry{}
 	hd.known = hd.cell
 	if h.Known != nil {
 		if c := h.Known(hd.key); c.Newer(hd.known) {
 			hd.known = c
 		}
 	}
-	h.open(hd, KindPrepare, Message{Kind: KindPrepare, Key: hd.key, Epoch: hd.epoch, Cell: Cell{Epoch: hd.known.Epoch, Serial: hd.known.Serial}})
+	h.open(hd, KindPrepare, Message{Kind: KindPrepare, Key: hd.key, Epoch: hd.epoch, Cell: Entry{Epoch: hd.known.Epoch, Serial: hd.known.Serial}})
 }
 
-func (h *Holder) write(hd *holding, cell Cell, settles bool) {
+func (h *Holder) write(hd *holding, cell Entry, settles bool) {
 	hd.writing, hd.settles = cell, settles
 	if !settles {
 		hd.queue[0].sent = true
@@ -162,7 +162,7 @@
 	hd.due = h.clock.Now() + h.round<<min(hd.late, 2)
 	hd.yes, hd.no = map[string]bool{}, map[string]bool{}
 	h.asks[hd.ask] = hd
-	m.Ask, m.From, m.Set = hd.ask, h.self, quorum.Set{Serial: h.set.Serial}
+	m.Ask, m.From, m.Set = hd.ask, h.self, quorum.VoterSet{Serial: h.set.Serial}
 	for _, d := range h.set.All() {
 		h.net.Send(d.Addr, m)
 	}
@@ -235,7 +235,7 @@
 	chosen := cur.Serial == 0 || h.set.Majority(func(d string) bool { return hd.agree[d].Same(cur) && hd.yes[d] })
 	mine := !j.req.Read && j.req.Op != "" && cur.Op == j.req.Op
 	if !j.req.Read && !mine && cur.Serial == j.req.Base {
-		h.write(hd, Cell{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
+		h.write(hd, Entry{Epoch: hd.epoch, Serial: j.req.Base + 1, Op: j.req.Op, Value: j.req.Value}, false)
 		return
 	}
 	if chosen {
@@ -246,7 +246,7 @@
 	h.write(hd, cur, true)
 }
 
-func (h *Holder) verdict(j *job, cur Cell) Result {
+func (h *Holder) verdict(j *job, cur Entry) Result {
 	switch {
 	case j.req.Read, j.req.Op != "" && cur.Op == j.req.Op:
 		return Result{Outcome: Done, Cell: cur}
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -5,11 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"linedrum.example/linedrum/admission"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
@@ -51,7 +51,7 @@
 	// Do performs one operation on the control state and waits for its outcome.
 	Do(ctx context.Context, req register.Request) register.Result
 	// Look reads one key from a majority without writing anything.
-	Look(ctx context.Context, key string, patience time.Duration) (register.Cell, bool)
+	Look(ctx context.Context, key string, patience time.Duration) (register.Entry, bool)
 	// OpID names one write.
 	OpID() string
 	// Background runs what outlives a request.
@@ -117,7 +117,7 @@
 	clock    Clock
 	fleet    Fleet
 	engines  Engines
-	gate     *gate.Gate
+	gate     *admission.Gate
 	book     *explain.Book
 	speech   Speech
 	manner   Manner
@@ -131,7 +131,7 @@
 	Clock    Clock
 	Fleet    Fleet
 	Engines  Engines
-	Gate     *gate.Gate
+	Gate     *admission.Gate
 	Book     *explain.Book
 	Speech   Speech
 }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -12,11 +12,11 @@
 	"github.com/apex/log/handlers/memory"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"linedrum.example/linedrum/admission"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/gate"
 	"linedrum.example/linedrum/lease"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
@@ -66,8 +66,8 @@
 func (w *world) Do(context.Context, register.Request) register.Result {
 	return register.Result{Outcome: register.NotDone}
 }
-func (w *world) Look(context.Context, string, time.Duration) (register.Cell, bool) {
-	return register.Cell{}, false
+func (w *world) Look(context.Context, string, time.Duration) (register.Entry, bool) {
+	return register.Entry{}, false
 }
 func (w *world) OpID() string                         { return "op" }
 func (w *world) Background(func(ctx context.Context)) {}
@@ -192,7 +192,7 @@
 	w.file = file
 	return New(Joined{
 		Settings: settings.Default(), Log: event.New(&log.Logger{Handler: memory.New(), Level: log.ErrorLevel}), Clock: w, Fleet: w,
-		Engines: w, Gate: gate.New(w), Book: book, Speech: w,
+		Engines: w, Gate: admission.New(w), Book: book, Speech: w,
 	})
 }
 
--- a/tenure/model_test.go
+++ b/tenure/model_test.go
@@ -60,7 +60,7 @@
 	rand    *rand.Rand
 	now     time.Duration
 	planted planted
-	set     quorum.Set
+	set     quorum.VoterSet
 	disks   map[string]*register.Acceptor
 	nodes   []*modelNode
 	queue   []message
@@ -79,7 +79,7 @@
 	holder  *register.Holder
 	keeper  *lease.Keeper
 	tenure  *tenure.Tenure
-	written register.Cell
+	written register.Entry
 	writing bool
 	drafts  []draft
 }
@@ -107,17 +107,17 @@
 	}})
 }
 
-func (n *modelNode) Set() quorum.Set             { return n.m.set }
-func (n *modelNode) NewSet(quorum.Set)           {}
-func (n *modelNode) Relays() []string            { return nil }
-func (n *modelNode) Adopt(string, register.Cell) {}
-func (n *modelNode) Settle(key string)           { n.read(key) }
+func (n *modelNode) Set() quorum.VoterSet         { return n.m.set }
+func (n *modelNode) NewSet(quorum.VoterSet)       {}
+func (n *modelNode) Relays() []string             { return nil }
+func (n *modelNode) Adopt(string, register.Entry) {}
+func (n *modelNode) Settle(key string)            { n.read(key) }
 func (n *modelNode) read(key string) {
 	n.holder.Do(register.Request{Key: key, Read: true, Patience: time.Second}, func(register.Result) {})
 }
 
 func newModel(seed uint64, p planted) *model {
-	m := &model{rand: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, planted: p, set: quorum.Set{Serial: 1}, disks: map[string]*register.Acceptor{}}
+	m := &model{rand: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, planted: p, set: quorum.VoterSet{Serial: 1}, disks: map[string]*register.Acceptor{}}
 	for i := range 3 {
 		id := fmt.Sprintf("d%d", i)
 		m.set.Disks = append(m.set.Disks, quorum.Disk{Identity: id, Addr: id})
@@ -129,7 +129,7 @@
 	}
 	for i := range 3 {
 		n := &modelNode{m: m, addr: fmt.Sprintf("n%d", i)}
-		n.holder = register.NewHolder(n.addr, m, n, m, modelBound/8, func(quorum.Set) {})
+		n.holder = register.NewHolder(n.addr, m, n, m, modelBound/8, func(quorum.VoterSet) {})
 		n.holder.Adopt(m.set)
 		n.keeper = lease.New(n.addr, m, n, n, lease.TimingFor(modelBound), uint64(i+1)<<40)
 		n.keeper.Want([]string{modelKey})
@@ -146,7 +146,7 @@
 	return m
 }
 
-func baseOf(cell register.Cell) tenure.Base {
+func baseOf(cell register.Entry) tenure.Base {
 	base := tenure.Base{Serial: cell.Serial, Epoch: cell.Epoch.Count}
 	if cell.Serial > 0 {
 		_ = json.Unmarshal(cell.Value, &base.Record)
