Sight: a stopping node logs late requests, their connections, and what it cuts

Change: events 507 and 508, from package drain; no logic changes. Result: TestDrain asserts event 507.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -10,43 +10,82 @@
 	"sync"
 	"time"
 
+	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/lifecycle"
 )
 
 // Conns are the open connections of one server: Track is its ConnState. Safe for
 // concurrent use.
 type Conns struct {
-	mu   sync.Mutex // innermost
-	open map[net.Conn]*state
-	stop bool
+	now func() time.Duration // the process's clock
+	log *event.Log           // nil: nothing is logged
+
+	mu      sync.Mutex // innermost
+	open    map[net.Conn]*state
+	stopped time.Duration // when the stop began
+	stop    bool          // idle connections are being closed
 }
 
+// state is what is known of one connection.
 type state struct {
-	idle    bool
-	after   bool // it became idle after the stop had begun
-	looks   int  // that found it idle, one after the other
-	retired bool // it is to be closed, unless a request has been read from it
+	opened   time.Duration
+	requests int           // read from it so far
+	rested   time.Duration // when its last response ended; opened, before the first
+	idle     bool
+	after    bool // it became idle after the stop had begun
+	looks    int  // that found it idle, one after the other
+	retired  bool // it is to be closed, unless a request has been read from it
+}
+
+// New makes the connections of a server that has none yet, by the process's clock; a nil
+// log logs nothing.
+func New(now func() time.Duration, log *event.Log) *Conns {
+	return &Conns{now: now, log: log, open: map[net.Conn]*state{}}
 }
 
-// New makes the connections of a server that has none yet.
-func New() *Conns { return &Conns{open: map[net.Conn]*state{}} }
+// Begin notes that the stop begins.
+func (c *Conns) Begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = c.now()
+}
 
 // Track notes what became of a connection.
 func (c *Conns) Track(conn net.Conn, to http.ConnState) {
+	if late := c.track(conn, to); late != nil && c.log != nil {
+		c.log.Say(event.RequestLate, late)
+	}
+}
+
+// track notes what became of a connection, and tells of a request that came on it after
+// the server had stopped to accept connections.
+func (c *Conns) track(conn net.Conn, to http.ConnState) event.Fields {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.now()
+	had := c.open[conn]
+	if had == nil {
+		had = &state{opened: now, rested: now}
+	}
 	switch to {
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
 	case http.StateActive:
-		if s := c.open[conn]; s != nil && s.retired {
+		if had.retired {
 			// Its request had been read, in part or whole, when it was given up as idle.
 			_ = conn.SetReadDeadline(time.Time{})
 		}
-		c.open[conn] = &state{after: c.stop}
+		c.open[conn] = &state{opened: had.opened, requests: had.requests + 1, rested: had.rested, after: c.stop}
+		if c.stop {
+			return event.Fields{
+				"stopping_ms": (now - c.stopped).Milliseconds(), "connection_ms": (now - had.opened).Milliseconds(),
+				"idle_ms": (now - had.rested).Milliseconds(), "requests_before": had.requests, "client": conn.RemoteAddr().String(),
+			}
+		}
 	default:
-		c.open[conn] = &state{idle: true, after: c.stop}
+		c.open[conn] = &state{opened: had.opened, requests: had.requests, rested: now, idle: true, after: c.stop}
 	}
+	return nil
 }
 
 // looksIdle is how many looks in a row must find a connection idle.
@@ -71,6 +110,21 @@
 			cancel()
 		}
 	})
+	if active := c.active(); active > 0 && c.log != nil {
+		c.log.Say(event.RequestsCut, event.Fields{"requests": active})
+	}
+}
+
+// active is how many connections have a request under way.
+func (c *Conns) active() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.open {
+		if !s.idle {
+			n++
+		}
+	}
+	return n
 }
 
 // past is a deadline that has been missed; net/http's own is another.
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -11,18 +11,25 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/lifecycle"
 )
 
+// still is a clock that stands.
+func still() time.Duration { return 0 }
+
 func TestDrain(t *testing.T) {
 	Convey("a request that follows a reply from before the stop is served, and ends the connection", t, func() {
 		c := lifecycle.New(context.Background())
 		defer c.Stop()
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
-		conns := New()
+		lines := memory.New()
+		conns := New(still, event.New(&log.Logger{Handler: lines}))
 		began, release := make(chan bool), make(chan bool)
 		var draining atomic.Bool
 		server := &http.Server{ConnState: conns.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -42,6 +49,7 @@
 			if path == "/first" {
 				<-began
 				draining.Store(true)
+				conns.Begin()
 				_ = listener.Close()
 				c.Start(func(ctx context.Context) {
 					conns.Close(ctx, 200*time.Millisecond)
@@ -72,6 +80,10 @@
 		_, err = in.ReadByte()
 		So(err, ShouldEqual, io.EOF)
 		<-began // nothing is left: idle ones were closed
+		late := lines.Entries
+		So(late, ShouldHaveLength, 1)
+		So(late[0].Fields["event"], ShouldEqual, int(event.RequestLate))
+		So(late[0].Fields["requests_before"], ShouldEqual, 1)
 	})
 }
 
@@ -128,7 +140,7 @@
 	So(err, ShouldBeNil)
 	var armed atomic.Bool
 	read, gaveUp := make(chan bool, 1), make(chan bool)
-	conns := New()
+	conns := New(still, nil)
 	server := &http.Server{ConnState: conns.Track, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if armed.Load() {
 			w.Header().Set("Connection", "close")
--- a/event/event.go
+++ b/event/event.go
@@ -58,6 +58,8 @@
 	Reloaded       Number = 504
 	ReloadBounced  Number = 505
 	StartBounced   Number = 506
+	RequestLate    Number = 507
+	RequestsCut    Number = 508
 )
 
 // Catalogue says what each number means, in the words of docs/log-events.md.
@@ -106,6 +108,8 @@
 	Reloaded:       "the settings were read again",
 	ReloadBounced:  "the new settings are at fault; the old ones stay",
 	StartBounced:   "the node did not start",
+	RequestLate:    "a request came after the stopping node had ceased to accept connections",
+	RequestsCut:    "requests were still under way when the time of the planned stop was over",
 }
 
 // Log writes numbered events.
@@ -127,7 +131,7 @@
 	switch n {
 	case DiskDamaged, DiskFailed, FoundingStuck, StartBounced:
 		entry.Error(Catalogue[n])
-	case DiskTorn, DiskUnopened, DiskReborn, LeaseLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent, ListSilent:
+	case DiskTorn, DiskUnopened, DiskReborn, LeaseLost, ReloadBounced, DatagramBad, FrameBad, StreamCut, EngineSilent, ListSilent, RequestsCut:
 		entry.Warn(Catalogue[n])
 	case RequestDone:
 		entry.Debug(Catalogue[n])
--- a/httpapi/face.go
+++ b/httpapi/face.go
@@ -63,7 +63,7 @@
 
 // New makes the face of a node; it listens from Serve on.
 func New(n Node, path *serve.Server, c *control.Control) *Face {
-	f := &Face{conns: drain.New(), n: n, settings: n.Settings(), path: path, control: c}
+	f := &Face{conns: drain.New(n.Now, n.Log()), n: n, settings: n.Settings(), path: path, control: c}
 	limits := f.settings.Limits
 	r := chi.NewRouter()
 	r.Use(func(next http.Handler) http.Handler {
@@ -140,6 +140,7 @@
 // it gets a moment before it is closed.
 func (f *Face) Drain() {
 	f.draining.Store(true)
+	f.conns.Begin()
 	_ = f.listener.Close()
 	bounds := f.settings.Bounds
 	ctx, cancel := context.WithTimeout(context.Background(), bounds.Drain.D())
