A stopping node refuses late requests, and no request outlives the process that took it

Cause: a response whose head went out before SIGTERM cannot close its connection, so its client may send the next request whenever that response ends. It was taken under its own deadline alone, and cut with the stop. The class: work is admitted, and goes on, without a bound by the remaining life of the process that admits it.

Ruled out: late connections, a stop that began late, an idle connection that was missed (docs/incidents/lost-late-request.md).

Change: drain.Within gives a stop's phases as parts of bounds.drain. serve.Stop refuses requests from 5/16 on, not-run and to come back elsewhere at once, for both faces; and, where the process is killed at the end, bounds the deadline of what is in hand by 27/32, so that what waits is told not-run and what may have run is told so, before connections close.

--- a/httpapi/face.go
+++ b/httpapi/face.go
@@ -135,10 +135,11 @@
 // Close ends all connections at once.
 func (f *Face) Close() { _ = f.server.Close() }
 
-// Drain takes no new connection, replies to what comes on those that are there,
-// and closes each after its last byte. An idle one may have a request on its way:
-// it gets a moment before it is closed.
-func (f *Face) Drain() {
+// Drain takes no new connection, replies to what comes on those that are there until the
+// schedule's Take, and closes each after its last byte; what comes later is refused by the
+// path. An idle one may have a request on its way: it gets a moment before it is closed.
+// What was read whole is finished, however long its own expiry lets it take.
+func (f *Face) Drain(drain.Schedule) {
 	f.draining.Store(true)
 	f.conns.Begin()
 	_ = f.listener.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"linedrum.example/linedrum/calot"
 	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/core"
+	"linedrum.example/linedrum/drain"
 	"linedrum.example/linedrum/engineclient"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
@@ -68,6 +69,7 @@
 	lister   serve.Lister // nil: the list is handed to the nodes
 	path     *serve.Server
 	faces    []Face
+	killed   bool // once a planned stop has taken Bounds.Drain
 	stopping atomic.Bool
 	counters counters
 	budget   *ledger.Budget // under mu
@@ -83,7 +85,7 @@
 	Serve() error
 	// Drain is the planned stop (section 6): it takes nothing new, and returns when
 	// what was read whole has its reply.
-	Drain()
+	Drain(schedule drain.Schedule)
 	// Close ends all connections at once.
 	Close()
 }
@@ -98,6 +100,9 @@
 	Faces []func(*Node) (Face, error)
 	// Lister asks for the list of engines; nil where the list is handed to the nodes.
 	Lister serve.Lister
+	// KilledAfterDrain says that the process is killed once a planned stop has taken
+	// Bounds.Drain, so that requests in hand must end before.
+	KilledAfterDrain bool
 }
 
 // Own makes the project's own face, on the settings' http address.
@@ -108,7 +113,7 @@
 	n := &Node{
 		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, posts: map[string]*post{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
-		speech: outside.Speech, lister: outside.Lister, settling: warmth.Settling{Lag: listLag(outside.Lister, s.Bounds)},
+		speech: outside.Speech, lister: outside.Lister, killed: outside.KilledAfterDrain, settling: warmth.Settling{Lag: listLag(outside.Lister, s.Bounds)},
 	}
 	n.awake = awake{gap: s.Bounds.InForce.D() / 4, calm: s.Bounds.InForce.D() / 4}
 	n.Control = control.New(n, n.clock, s.Bounds.InForce.D(), 2*s.Bounds.Recovery.D())
@@ -228,20 +233,22 @@
 func (n *Node) Kill() { n.cleanup.Run() }
 
 // Stop takes the node down as planned (section 6): callers are served to the
-// last request that was read whole, and its disk's vote goes to another disk that
+// last request that was taken, and its disk's vote goes to another disk that
 // waits; then the node hands its duties over and leaves the ring.
 func (n *Node) Stop() {
 	n.log.Say(event.Stopping, nil)
 	n.stopping.Store(true)
+	bounds := n.settings.Bounds
+	schedule := drain.Within(bounds.Drain.D())
+	n.path.Stop(n.stopOf(schedule))
 	n.mu.Lock()
 	n.core.Retire()
 	n.mu.Unlock()
-	bounds := n.settings.Bounds
 	retiring, cancel := context.WithTimeout(context.Background(), min(bounds.CatchUp.D(), bounds.Drain.D()*3/4))
 	defer cancel()
 	draining := lifecycle.New(context.Background())
 	for _, f := range n.faces {
-		draining.Start(func(context.Context) { f.Drain() })
+		draining.Start(func(context.Context) { f.Drain(schedule) })
 	}
 	draining.Wait()
 	n.awaitRetired(retiring)
@@ -254,6 +261,16 @@
 	n.log.Say(event.Stopped, nil)
 }
 
+// stopOf is what the requests' path is told of a planned stop that begins now.
+func (n *Node) stopOf(schedule drain.Schedule) serve.Stop {
+	now := n.clock.Now()
+	stop := serve.Stop{Take: now + schedule.Take}
+	if n.killed {
+		stop.Finish = now + schedule.Finish
+	}
+	return stop
+}
+
 // awaitRetired waits until this node's disk has no vote, or nobody can take it.
 func (n *Node) awaitRetired(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -122,6 +122,9 @@
 	speech   Speech
 	manner   Manner
 	held     atomic.Int64
+	stop     atomic.Pointer[Stop] // nil: no planned stop has begun
+	givenUp  context.Context      // ends when a planned stop gives up what is in hand
+	giveUp   context.CancelFunc
 }
 
 // Joined is all that a server is joined to.
@@ -141,6 +144,7 @@
 	s := &Server{
 		settings: j.Settings, log: j.Log, clock: j.Clock, fleet: j.Fleet, engines: j.Engines, gate: j.Gate, book: j.Book, speech: j.Speech,
 	}
+	s.givenUp, s.giveUp = context.WithCancel(context.Background())
 	if m, ok := j.Speech.(Mannered); ok {
 		s.manner = m.Manner()
 	}
@@ -148,8 +152,12 @@
 }
 
 // Hold counts a request in hand, read or not, of all faces together; a refusal says that
-// the node holds as many as it may. Without one, Free is called at the request's end.
+// the node holds as many as it may, or that it stops. Without one, Free is called at the
+// request's end.
 func (s *Server) Hold() *Refusal {
+	if !s.takes() {
+		return stopping()
+	}
 	if s.held.Add(1) > int64(s.settings.Limits.Waiting) {
 		s.held.Add(-1)
 		return ComeBack("node-full", "this node holds as many requests as it may", time.Second)
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -138,6 +138,9 @@
 		if m.Verdict == verdict.NotRun {
 			e.Status, e.Reason = http.StatusServiceUnavailable, "no engine came free within the request's time"
 		}
+		if q.stopped {
+			stoppedFault(e)
+		}
 	case ledger.CodeBudget:
 		e.Reason = "an engine failed, and the fleet's budget for repeated goes is spent"
 	case ledger.CodeInput:
--- a/serve/request.go
+++ b/serve/request.go
@@ -37,6 +37,7 @@
 	decided engine.Decided
 	repeats int
 	spent   bool           // the budget was found empty at the moment of a repeat
+	stopped bool           // the planned stop of this node ends its time
 	why     explain.Record // for whoever asks why it went where it went
 }
 
@@ -182,6 +183,7 @@
 
 // look is the ledger's view of the world now.
 func (q *request) look() ledger.View {
+	q.bound()
 	now := q.s.clock.Now()
 	v := ledger.View{Now: now, Budget: !q.spent && q.fleet.May()}
 	if inForce, held := q.fleet.InForce(); held {
@@ -205,6 +207,8 @@
 	return v
 }
 
+// expiryContext ends with the request's time, also where a planned stop that begins
+// meanwhile ends it earlier, and when the caller has gone.
 func (q *request) expiryContext() (context.Context, context.CancelFunc) {
 	base := q.ctx
 	if q.ledger.Once && len(q.ledger.Goes) > 0 {
@@ -212,7 +216,12 @@
 		// when this caller has gone (section 5.7).
 		base = context.WithoutCancel(base)
 	}
-	return context.WithTimeout(base, q.ledger.Expiry-q.s.clock.Now())
+	ctx, cancel := context.WithTimeout(base, q.ledger.Expiry-q.s.clock.Now())
+	forget := context.AfterFunc(q.s.givenUp, cancel)
+	return ctx, func() {
+		forget()
+		cancel()
+	}
 }
 
 // Names of what is at fault in a request, as callers of the project's own interface
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -18,6 +18,7 @@
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/lease"
+	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/register"
 	"linedrum.example/linedrum/settings"
@@ -42,6 +43,8 @@
 	now    time.Duration        // boot time; 0: a minute
 	tell   func() time.Duration // boot time, where it moves by itself
 	until  func() time.Duration // of the lease; nil: long enough
+	crew   *lifecycle.Crew      // runs what outlives a request; nil: nothing does
+	calls  context.Context      // of the newest call to an engine
 }
 
 func (w *world) Now() time.Duration {
@@ -69,9 +72,13 @@
 func (w *world) Look(context.Context, string, time.Duration) (register.Entry, bool) {
 	return register.Entry{}, false
 }
-func (w *world) OpID() string                         { return "op" }
-func (w *world) Background(func(ctx context.Context)) {}
-func (w *world) Ended(e Ended)                        { w.last = e }
+func (w *world) OpID() string { return "op" }
+func (w *world) Background(run func(ctx context.Context)) {
+	if w.crew != nil {
+		w.crew.Start(run)
+	}
+}
+func (w *world) Ended(e Ended) { w.last = e }
 func (w *world) server(name string) pairing.Server {
 	return pairing.Server{Listed: engine.Listed{Name: name}}
 }
@@ -109,7 +116,8 @@
 func (w *world) Order(context.Context, engine.Listed, engine.Order) error { return nil }
 func (w *world) Free(m Memory)                                            { w.freed = append(w.freed, string(m.Handle)) }
 
-func (w *world) Read(_ context.Context, g Go) (Memory, error) {
+func (w *world) Read(ctx context.Context, g Go) (Memory, error) {
+	w.calls = ctx
 	w.begun = append(w.begun, "read "+g.Server.Name)
 	if w.read != nil {
 		if err := w.read(len(w.begun)); err != nil {
@@ -119,7 +127,8 @@
 	return Memory{Handle: []byte(fmt.Sprintf("m%d", len(w.begun)))}, nil
 }
 
-func (w *world) Write(_ context.Context, g Go, from *Memory) (Reply, error) {
+func (w *world) Write(ctx context.Context, g Go, from *Memory) (Reply, error) {
+	w.calls = ctx
 	what := "write"
 	if from == nil {
 		what = "direct"
