A node that is told to stop while it starts leaves without having served

SIGTERM was looked at only once the start was over. Without a majority that takes in_force (2 s) and more; then the node began to listen, took requests for a quarter of the grace, and counted its stop from there: up to 4.4 s after the signal instead of 2.4, and past the kill at the end of the grace.

Change: the start ends with a context that SIGTERM cancels (node.Start, ErrStopped); the stand-in's processes in memory no longer lose a SIGTERM that comes while they start.

--- a/bench/fleet/memory.go
+++ b/bench/fleet/memory.go
@@ -116,8 +116,8 @@
 		host.Folder = func(string) (node.Folder, error) { return disk.Folder(ports), nil }
 	}
 	out := event.New(&log.Logger{Handler: json.New(g.logOf(n)), Level: log.InfoLevel})
-	return process.StartMemory(g.crew, m, disk, func() (process.Life, error) {
-		started, err := node.Start(s, out, host, node.Outside{})
+	return process.StartMemory(g.crew, m, disk, func(ctx context.Context) (process.Life, error) {
+		started, err := node.Start(ctx, s, out, host, node.Outside{})
 		if err != nil {
 			out.Say(event.StartBounced, event.Fields{"reason": err.Error()})
 			return nil, err
--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -107,7 +107,7 @@
 }
 
 func (b *bench) start() {
-	n, err := node.Start(b.s, event.New(&log.Logger{Handler: b.logs, Level: log.InfoLevel}), node.Machine(), node.Outside{})
+	n, err := node.Start(context.Background(), b.s, event.New(&log.Logger{Handler: b.logs, Level: log.InfoLevel}), node.Machine(), node.Outside{})
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/bench/platform/engine_test.go
+++ b/bench/platform/engine_test.go
@@ -24,7 +24,7 @@
 func (nobody) Stop() {}
 func (nobody) Kill() {}
 
-func idle([]byte, node.Host, io.Writer) (process.Life, error) { return nobody{}, nil }
+func idle(context.Context, []byte, node.Host, io.Writer) (process.Life, error) { return nobody{}, nil }
 
 // scene is a site of one zone without nodes, its engines, and somebody to ask.
 type scene struct {
--- a/bench/platform/ground.go
+++ b/bench/platform/ground.go
@@ -21,7 +21,7 @@
 )
 
 // Starter starts the system's process on a machine in memory, with a settings file.
-type Starter func(settings []byte, host node.Host, log io.Writer) (process.Life, error)
+type Starter func(ctx context.Context, settings []byte, host node.Host, log io.Writer) (process.Life, error)
 
 // Memory is machines in memory. It must be made, used and ended inside one bubble.
 type Memory struct {
@@ -116,8 +116,8 @@
 		host.Folder = func(string) (node.Folder, error) { return disk.Folder(ports), nil }
 	}
 	log := g.log(n)
-	return process.StartMemory(g.crew, m, disk, func() (process.Life, error) {
-		started, err := g.starter(settings, host, log)
+	return process.StartMemory(g.crew, m, disk, func(ctx context.Context) (process.Life, error) {
+		started, err := g.starter(ctx, settings, host, log)
 		if err != nil {
 			fmt.Fprintln(log, "start:", err)
 		}
--- a/bench/platform/product.go
+++ b/bench/platform/product.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"io"
 
 	"github.com/apex/log"
@@ -15,12 +16,12 @@
 
 // Product starts the product's own process on a machine in memory, as the subcommand
 // does on a real one.
-func Product(settings []byte, host node.Host, out io.Writer) (process.Life, error) {
+func Product(ctx context.Context, settings []byte, host node.Host, out io.Writer) (process.Life, error) {
 	place, err := product.Parse(settings)
 	if err != nil {
 		return nil, err
 	}
-	started, err := launch.Start(place, event.New(&log.Logger{Handler: jsonlog.New(out), Level: log.InfoLevel}), host)
+	started, err := launch.Start(ctx, place, event.New(&log.Logger{Handler: jsonlog.New(out), Level: log.InfoLevel}), host)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/process/memory.go
+++ b/bench/process/memory.go
@@ -5,8 +5,11 @@
 	"sync"
 	"syscall"
 
+	"github.com/juju/errors"
+
 	"linedrum.example/linedrum/bench/virtual"
 	"linedrum.example/linedrum/lifecycle"
+	"linedrum.example/linedrum/node"
 )
 
 // Life is a running node of the system inside this process.
@@ -23,6 +26,7 @@
 	disk    *virtual.Disk // nil: it keeps nothing
 	crew    *lifecycle.Crew
 	exited  chan struct{}
+	stopped context.CancelFunc // tells a process that starts to stop
 
 	mu    sync.Mutex
 	life  Life // nil while it starts
@@ -32,26 +36,36 @@
 }
 
 // StartMemory runs start on a machine, with a disk if there is one; a start that fails
-// ends the process with code 1.
-func StartMemory(c *lifecycle.Crew, machine *virtual.Machine, disk *virtual.Disk, start func() (Life, error)) *Memory {
+// ends the process with code 1. The context of start ends with SIGTERM.
+func StartMemory(c *lifecycle.Crew, machine *virtual.Machine, disk *virtual.Disk, start func(ctx context.Context) (Life, error)) *Memory {
 	p := &Memory{machine: machine, disk: disk, crew: c, exited: make(chan struct{})}
-	c.Start(func(context.Context) { p.run(start) })
+	ctx, cancel := context.WithCancel(c.Context())
+	p.stopped = cancel
+	c.Start(func(context.Context) { p.run(ctx, start) })
 	return p
 }
 
-func (p *Memory) run(start func() (Life, error)) {
-	life, err := start()
-	if err != nil {
+func (p *Memory) run(ctx context.Context, start func(ctx context.Context) (Life, error)) {
+	life, err := start(ctx)
+	switch {
+	case errors.Is(err, node.ErrStopped):
+		p.machine.Kill(false)
+		p.end(0)
+		return
+	case err != nil:
 		p.end(1)
 		return
 	}
 	p.mu.Lock()
 	p.life = life
-	over := p.over
+	over, stopped := p.over, ctx.Err() != nil
 	p.mu.Unlock()
-	if over {
+	switch {
+	case over:
 		life.Kill()
 		p.end(-1)
+	case stopped:
+		p.stopLife(life)
 	}
 }
 
@@ -115,11 +129,15 @@
 
 func (p *Memory) stop() {
 	p.mu.Lock()
+	p.stopped()
 	life := p.life
 	p.mu.Unlock()
-	if life == nil {
-		return
+	if life != nil { // otherwise it leaves before it serves, or right after
+		p.stopLife(life)
 	}
+}
+
+func (p *Memory) stopLife(life Life) {
 	p.crew.Start(func(context.Context) {
 		life.Stop()
 		// Nothing of a process that ended stays open.
--- a/bench/slope/host.go
+++ b/bench/slope/host.go
@@ -155,7 +155,7 @@
 		_ = c.HandleLog(e)
 		return lines.HandleLog(e)
 	})
-	n, err := node.Start(s, event.New(&log.Logger{Handler: both, Level: log.InfoLevel}), node.Host{
+	n, err := node.Start(context.Background(), s, event.New(&log.Logger{Handler: both, Level: log.InfoLevel}), node.Host{
 		Clock: boot.Clock{}, Net: c, Rand: rand.New(rand.NewPCG(o.Seed, o.Life)), Form: wire.Form,
 		Folder: func(path string) (node.Folder, error) { return wal.OpenFolder(path) },
 	}, node.Outside{})
--- a/cmd/linedrum/node.go
+++ b/cmd/linedrum/node.go
@@ -83,8 +83,10 @@
 		return subcommands.ExitSuccess
 	}
 	return process{
-		debug:  c.debug,
-		start:  func(out *event.Log) (*node.Node, error) { return node.Start(s, out, node.Machine(), node.Outside{}) },
+		debug: c.debug,
+		start: func(ctx context.Context, out *event.Log) (*node.Node, error) {
+			return node.Start(ctx, s, out, node.Machine(), node.Outside{})
+		},
 		reload: c.reload,
 	}.run()
 }
--- a/cmd/linedrum/platform.go
+++ b/cmd/linedrum/platform.go
@@ -50,8 +50,10 @@
 		return subcommands.ExitSuccess
 	}
 	return process{
-		debug:  c.debug,
-		start:  func(out *event.Log) (*node.Node, error) { return launch.Start(place, out, node.Machine()) },
+		debug: c.debug,
+		start: func(ctx context.Context, out *event.Log) (*node.Node, error) {
+			return launch.Start(ctx, place, out, node.Machine())
+		},
 		reload: reread,
 	}.run()
 }
--- a/cmd/linedrum/process.go
+++ b/cmd/linedrum/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -8,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/google/subcommands"
+	"github.com/juju/errors"
 
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/node"
@@ -16,34 +18,46 @@
 // process is one process of the fleet, by either of the subcommands that run one.
 type process struct {
 	debug  bool // log every request
-	start  func(out *event.Log) (*node.Node, error)
+	start  func(ctx context.Context, out *event.Log) (*node.Node, error)
 	reload func(n *node.Node) error // on SIGHUP
 }
 
-// run logs to standard error, and ends with the planned stop at SIGTERM or SIGINT.
+// run logs to standard error, and ends with the planned stop at SIGTERM or SIGINT, also
+// while it starts.
 func (p process) run() subcommands.ExitStatus {
 	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
 	if p.debug {
 		logger.Level = log.DebugLevel
 	}
 	out := event.New(logger)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	n, err := p.start(out)
-	if err != nil {
+	reloads := make(chan os.Signal, 4)
+	signal.Notify(reloads, syscall.SIGHUP)
+	ctx, forget := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer forget()
+	n, err := p.start(ctx, out)
+	switch {
+	case errors.Is(err, node.ErrStopped):
+		return subcommands.ExitSuccess
+	case err != nil:
 		out.Say(event.StartBounced, event.Fields{"reason": err.Error()})
 		return exitFailed
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	for {
+		select {
+		case <-ctx.Done():
+			n.Stop()
+			return subcommands.ExitSuccess
+		case <-reloads:
+			p.reloadInto(n, out)
 		}
-		if err := p.reload(n); err != nil {
-			out.Say(event.ReloadBounced, event.Fields{"reason": err.Error()})
-			continue
-		}
-		out.Say(event.Reloaded, nil)
 	}
-	n.Stop()
-	return subcommands.ExitSuccess
+}
+
+// reloadInto has a node go on by the settings read anew, or by the old ones.
+func (p process) reloadInto(n *node.Node, out *event.Log) {
+	if err := p.reload(n); err != nil {
+		out.Say(event.ReloadBounced, event.Fields{"reason": err.Error()})
+		return
+	}
+	out.Say(event.Reloaded, nil)
 }
--- a/node/disk_test.go
+++ b/node/disk_test.go
@@ -80,23 +80,28 @@
 
 // start begins a life of each machine and waits until its node serves.
 func (f *testFleet) start(machines ...*testMachine) {
-	starting := lifecycle.New(context.Background())
+	f.startUntil(context.Background(), machines...)
+}
+
+// startUntil is start, of nodes that are told to stop when ctx ends.
+func (f *testFleet) startUntil(ctx context.Context, machines ...*testMachine) {
+	starting := lifecycle.New(ctx)
 	for _, m := range machines {
 		f.lives++
 		random := rand.New(rand.NewPCG(7, f.lives))
-		starting.Start(func(context.Context) { m.start(random) })
+		starting.Start(func(ctx context.Context) { m.start(ctx, random) })
 	}
 	starting.Wait()
 }
 
-func (m *testMachine) start(random *rand.Rand) {
+func (m *testMachine) start(ctx context.Context, random *rand.Rand) {
 	ports := m.machine.Boot()
 	host := Host{
 		Clock: m.machine.Clock(), Net: ports, Rand: random, Form: wire.Form,
 		Folder: func(string) (Folder, error) { return m.disk.Folder(ports), nil },
 	}
 	out := event.New(&log.Logger{Handler: json.New(m.said), Level: log.InfoLevel})
-	m.node, m.err = Start(m.settings, out, host, Outside{})
+	m.node, m.err = Start(ctx, m.settings, out, host, Outside{})
 	m.settings.Later = true
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -108,8 +108,12 @@
 // Own makes the project's own face, on the settings' http address.
 func Own(n *Node) (Face, error) { return httpapi.New(n, n.path, n.Control), nil }
 
-// Start brings a node up on a host; Stop takes it down.
-func Start(s settings.Settings, log *event.Log, host Host, outside Outside) (_ *Node, err error) {
+// ErrStopped says that a node was told to stop before it served; it has left by then.
+const ErrStopped = errors.ConstError("stopped before it served")
+
+// Start brings a node up on a host; Stop takes it down. Where ctx ends before the node
+// serves, it leaves again without having served, and ErrStopped is returned.
+func Start(ctx context.Context, s settings.Settings, log *event.Log, host Host, outside Outside) (_ *Node, err error) {
 	n := &Node{
 		settings: s, log: log, host: host, clock: host.Clock, rand: host.Rand, posts: map[string]*post{},
 		book: explain.NewBook(s.Limits.Records), asks: map[uint64]*asking{}, counters: counters{counts: map[string]uint64{}},
@@ -170,7 +174,12 @@
 	if n.lister != nil {
 		n.crew.Start(n.tickList)
 	}
-	n.awaitPermit()
+	n.awaitPermit(ctx)
+	if ctx.Err() != nil {
+		n.log.Say(event.Stopping, nil)
+		n.leave()
+		return nil, ErrStopped
+	}
 	for _, f := range n.faces {
 		if err = f.Serve(); err != nil {
 			return nil, errors.Trace(err)
@@ -219,8 +228,8 @@
 
 // awaitPermit keeps callers away until this node can serve them, but operators
 // not for long: without a majority there is no permit, and they want to know why.
-func (n *Node) awaitPermit() {
-	ctx, cancel := context.WithTimeout(n.crew.Context(), n.settings.Bounds.InForce.D())
+func (n *Node) awaitPermit(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.InForce.D())
 	defer cancel()
 	lifecycle.Every(ctx, n.core.TickEvery(), func() {
 		if n.Permit() {
@@ -252,13 +261,18 @@
 	}
 	draining.Wait()
 	n.awaitRetired(retiring)
+	n.leave()
+	n.cleanup.Run()
+	n.log.Say(event.Stopped, nil)
+}
+
+// leave hands the duties over and leaves the ring.
+func (n *Node) leave() {
 	n.mu.Lock()
 	n.core.Leave()
 	n.mu.Unlock()
 	n.awaitLeft()
 	n.log.Say(event.RingLeft, nil)
-	n.cleanup.Run()
-	n.log.Say(event.Stopped, nil)
 }
 
 // stopOf is what the requests' path is told of a planned stop that begins now.
