Package drain says whether a stop has begun and which response is a connection's last

Both faces kept a flag of their own and worded the same header; it stands once now. A start that is stopped does not wait for a hanging disk either.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,6 +1,6 @@
 // Package drain ends the connections of an HTTP server as a planned stop wants it
-// (design.md section 6). The library's own way closes a connection after a reply whose
-// head did not say so, and then does not read the request that its consumer sends there.
+// (design.md section 6). The library's own way closes a connection after a response whose
+// head did not say so, and then does not read the request that its client sends there.
 package drain
 
 import (
@@ -20,10 +20,11 @@
 	now func() time.Duration // the process's clock
 	log *event.Log           // nil: nothing is logged
 
-	mu      sync.Mutex // innermost
-	open    map[net.Conn]*state
-	stopped time.Duration // when the stop began
-	stop    bool          // idle connections are being closed
+	mu       sync.Mutex // innermost
+	open     map[net.Conn]*state
+	stopping bool
+	stopped  time.Duration // when the stop began
+	closing  bool          // idle connections are being closed
 }
 
 // state is what is known of one connection.
@@ -32,7 +33,7 @@
 	requests int           // read from it so far
 	rested   time.Duration // when its last response ended; opened, before the first
 	idle     bool
-	after    bool // it became idle after the stop had begun
+	after    bool // it became idle while idle connections were being closed
 	looks    int  // that found it idle, one after the other
 	retired  bool // it is to be closed, unless a request has been read from it
 }
@@ -47,7 +48,21 @@
 func (c *Conns) Begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped = c.now()
+	c.stopping, c.stopped = true, c.now()
+}
+
+// Stopping tells that the stop has begun.
+func (c *Conns) Stopping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping
+}
+
+// Last has a response whose head is not out yet end its connection, once the stop has begun.
+func (c *Conns) Last(head http.Header) {
+	if c.Stopping() {
+		head.Set("Connection", "close")
+	}
 }
 
 // Track notes what became of a connection.
@@ -75,15 +90,15 @@
 			// Its request had been read, in part or whole, when it was given up as idle.
 			_ = conn.SetReadDeadline(time.Time{})
 		}
-		c.open[conn] = &state{opened: had.opened, requests: had.requests + 1, rested: had.rested, after: c.stop}
-		if c.stop {
+		c.open[conn] = &state{opened: had.opened, requests: had.requests + 1, rested: had.rested, after: c.closing}
+		if c.closing {
 			return event.Fields{
 				"stopping_ms": (now - c.stopped).Milliseconds(), "connection_ms": (now - had.opened).Milliseconds(),
 				"idle_ms": (now - had.rested).Milliseconds(), "requests_before": had.requests, "client": conn.RemoteAddr().String(),
 			}
 		}
 	default:
-		c.open[conn] = &state{opened: had.opened, requests: had.requests, rested: now, idle: true, after: c.stop}
+		c.open[conn] = &state{opened: had.opened, requests: had.requests, rested: now, idle: true, after: c.closing}
 	}
 	return nil
 }
@@ -95,15 +110,15 @@
 )
 
 // Close closes connections that stay idle for a while, until none is left or ctx ends;
-// those whose reply ended after the stop had begun get a part of it, for their
-// consumer knows of the connection that it still lives.
-// A request that is read from one before that is served as ever, and its reply, whose
-// head is to say so, ends the connection. Nothing may accept new ones any more.
+// those whose response ended meanwhile get a part of it, for their client knows that the
+// connection still lives. A request that is read from one before that is served, or
+// refused, as ever, and its response, whose head is to say so (Last), ends the connection.
+// Nothing may accept new ones any more.
 func (c *Conns) Close(ctx context.Context, idle time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
-	c.stop = true
+	c.closing = true
 	c.mu.Unlock()
 	lifecycle.Every(ctx, max(idle/looksIdle, time.Millisecond), func() {
 		if c.look() == 0 {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -31,14 +31,13 @@
 		lines := memory.New()
 		conns := New(still, event.New(&log.Logger{Handler: lines}))
 		began, release := make(chan bool), make(chan bool)
-		var draining atomic.Bool
 		server := &http.Server{ConnState: conns.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/first" {
 				_ = http.NewResponseController(w).Flush() // its head is out before the stop
 				began <- true
 				<-release
-			} else if draining.Load() {
-				w.Header().Set("Connection", "close")
+			} else {
+				conns.Last(w.Header())
 			}
 			_, _ = io.WriteString(w, "whole")
 		})}
@@ -48,7 +47,6 @@
 			So(err, ShouldBeNil)
 			if path == "/first" {
 				<-began
-				draining.Store(true)
 				conns.Begin()
 				_ = listener.Close()
 				c.Start(func(ctx context.Context) {
--- a/httpapi/caller.go
+++ b/httpapi/caller.go
@@ -168,7 +168,7 @@
 		}
 		c.deadline()
 	}
-	c.f.lastOf(c.w)
+	c.f.conns.Last(h)
 	c.w.WriteHeader(http.StatusOK)
 	return nil
 }
--- a/httpapi/face.go
+++ b/httpapi/face.go
@@ -56,7 +56,6 @@
 	control  *control.Control
 	server   *http.Server
 	listener net.Listener
-	draining atomic.Bool
 	conns    *drain.Conns
 	whole    atomic.Int64 // requests read whole
 }
@@ -140,7 +139,6 @@
 // path. An idle one may have a request on its way: it gets a moment before it is closed.
 // What was read whole is finished, however long its own expiry lets it take.
 func (f *Face) Drain(drain.Schedule) {
-	f.draining.Store(true)
 	f.conns.Begin()
 	_ = f.listener.Close()
 	bounds := f.settings.Bounds
@@ -220,17 +218,10 @@
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((e.RetryAfter+time.Second-1)/time.Second)))
 	}
-	f.lastOf(w)
+	f.conns.Last(w.Header())
 	writeJSON(w, e.Status, p)
 }
 
-// lastOf makes a reply the last one of its connection while the node stops.
-func (f *Face) lastOf(w http.ResponseWriter) {
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // readBody takes at most limit bytes.
 func (f *Face) readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *verdict.Error) {
 	var buf bytes.Buffer
--- a/node/disk.go
+++ b/node/disk.go
@@ -70,10 +70,10 @@
 // awaitDisk begins to open the data folder, and waits for it, but not long: a node
 // whose disk hangs or refuses serves without it, and takes it when it can be opened.
 // A folder that another process uses is a clear refusal to start.
-func (n *Node) awaitDisk() error {
+func (n *Node) awaitDisk(ctx context.Context) error {
 	first := make(chan error, 1)
 	n.crew.Start(func(ctx context.Context) { n.keepOpening(ctx, first) })
-	ctx, cancel := context.WithTimeout(n.crew.Context(), n.settings.Bounds.InForce.D()/2)
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.InForce.D()/2)
 	defer cancel()
 	select {
 	case err := <-first:
--- a/node/node.go
+++ b/node/node.go
@@ -138,7 +138,7 @@
 		return nil, errors.Trace(err)
 	}
 	if s.Data != "" {
-		if err = n.awaitDisk(); err != nil {
+		if err = n.awaitDisk(ctx); err != nil {
 			return nil, errors.Trace(err)
 		}
 	}
