--- a/bench/hunt/draw.go
+++ b/bench/hunt/draw.go
@@ -67,17 +67,41 @@
 	d.several(coreless, d.IntN(4))
 	d.several(operator, 1+d.IntN(6))
 	d.several(pool, d.IntN(5))
+	if rollout := rand.New(rand.NewPCG(seed, rolloutStream)); rollout.IntN(rolloutDays) == 0 {
+		d.rollOut(rollout, spec)
+	}
 	slices.SortStableFunc(d.day.Events, func(a, b platform.Event) int { return int(a.At - b.At) })
 	return d.day
 }
 
+// One day in so many has a rolling stop of the machines without a disk, over most of the day.
+// It is drawn by a stream of its own, so that what else a seed draws stays as it was.
+const (
+	rolloutDays   = 4
+	rolloutStream = 12
+)
+
+// rollOut adds planned stops one after the other, and streams that outlast them, whose
+// clients ask again at once on the connection that they have.
+func (d *drawer) rollOut(random *rand.Rand, spec platform.Spec) {
+	if len(d.day.Classes) == 0 {
+		d.day.Classes = classes(spec)
+	}
+	long := &d.day.Classes[len(d.day.Classes)-1]
+	long.PerS, long.Follow = 2, 0.9
+	gap := time.Second + time.Duration(random.IntN(2000))*time.Millisecond
+	for at := firstEvent; at < d.span-grace; at += gap {
+		d.day.Events = append(d.day.Events, platform.Event{At: strict.Duration(at), Kind: "term", Count: 1})
+	}
+}
+
 // classes are the usual ones, beside requests that change something, requests that only
 // read, and streams that outlast a planned stop.
 func classes(spec platform.Spec) []platform.Class {
 	return append(slices.Clone(spec.Classes),
 		platform.Class{Name: "book", Kind: platform.KindChanging, PerS: 2, Aim: 400, Deadline: 3000, Retries: 2, Tries: 2, Bytes: 400, Worth: 3},
 		platform.Class{Name: "look", Kind: platform.KindReadOnly, PerS: 2, Aim: 400, Deadline: 3000, Retries: 2, Tries: 3, Bytes: 100, Worth: 1},
-		platform.Class{Name: "long", Kind: platform.KindStream, PerS: 1, Aim: 500, Deadline: 8000, Retries: 1, Tries: 1, Urgency: 1, Gap: 250, Own: 600, Out: 1000, Bytes: 300, Worth: 2},
+		platform.Class{Name: "long", Kind: platform.KindStream, PerS: 1, Aim: 500, Deadline: 8000, Retries: 1, Tries: 1, Urgency: 1, Gap: 250, Own: 600, Out: 1000, Bytes: 300, Worth: 2, Follow: 0.5},
 	)
 }
 
--- a/bench/platform/audit.go
+++ b/bench/platform/audit.go
@@ -342,7 +342,7 @@
 					continue
 				}
 				passed = true
-				still := r.ran() && !r.Whole && t.Ended.After(u.From.Add(grace*5/6)) && !t.Sent.After(u.From.Add(sentEarly))
+				still := r.ran() && !r.Whole && a.outlasted(t)
 				excused = excused || r.Broken || r.Failed || still
 			}
 			if !excused && (passed || t.Ended.Sub(t.Sent) > msOf(a.bounds.LostSlack)) {
@@ -352,6 +352,22 @@
 	}
 }
 
+// outlasted tells whether a request was sent soon after the signal of a planned stop of its
+// node, or before, and ended in the last sixth of that stop's grace or later. Where a node
+// stops twice within a grace, the stop that ended the request is the one to look at.
+func (a *auditor) outlasted(t *Try) bool {
+	grace := time.Duration(a.bounds.Grace) * time.Second
+	for _, u := range a.ev.Upsets {
+		if u.Node != t.Node || !u.Planned || u.What != "stop" || t.Sent.After(u.From.Add(sentEarly)) {
+			continue
+		}
+		if t.Ended.After(u.From.Add(grace*5/6)) && !t.Ended.After(u.From.Add(grace+time.Second)) {
+			return true
+		}
+	}
+	return false
+}
+
 // troubled tells of unplanned trouble.
 func (a *auditor) troubled(node string, from, to time.Time) bool {
 	for _, u := range a.ev.Upsets {
--- a/bench/platform/audit_test.go
+++ b/bench/platform/audit_test.go
@@ -226,6 +226,11 @@
 		{"LOST", "a request that was sent long after the signal, and cut as the stop ended", func(ev *Evidence, t0 time.Time) { cutByStop(ev, t0, 3100, 7000) }},
 		{"LOST", "a request that was cut well before the stop ended", func(ev *Evidence, t0 time.Time) { cutByStop(ev, t0, 1000, 6000) }},
 		{"", "a request that was sent soon after the signal, and cut as the stop ended", func(ev *Evidence, t0 time.Time) { cutByStop(ev, t0, 2900, 7000) }},
+		{"", "a request that was sent soon after a second signal, and cut as that stop ended", func(ev *Evidence, t0 time.Time) {
+			cutByStop(ev, t0, 2900, 7000)
+			before := t0.Add(21 * time.Second)
+			ev.Upsets = append(ev.Upsets, &Upset{From: before, To: before.Add(2 * time.Second), Node: "n1", IP: "10.0.0.1", What: "stop", Planned: true})
+		}},
 		{"BUDGET", "further tries", func(ev *Evidence, t0 time.Time) {
 			for i := range 80 {
 				r := *ev.Arrivals[2]
--- a/serve/request.go
+++ b/serve/request.go
@@ -63,7 +63,10 @@
 func (s *Server) Serve(ask *Ask, caller Caller) {
 	q := s.request(ask, caller)
 	q.takeKey()
-	refusal := s.checkKey(ask.OnceKey)
+	refusal := s.late()
+	if refusal == nil {
+		refusal = s.checkKey(ask.OnceKey)
+	}
 	if refusal == nil {
 		refusal = q.read()
 	}
--- a/serve/stop.go
+++ b/serve/stop.go
@@ -46,6 +46,15 @@
 	return stop == nil || s.clock.Now() < stop.Take
 }
 
+// late refuses a request whose body was on its way for so long that it was read whole when
+// requests were no longer taken, where the process does not outlast the stop.
+func (s *Server) late() *Refusal {
+	if stop := s.stop.Load(); stop == nil || stop.Finish <= 0 || s.takes() {
+		return nil
+	}
+	return stopping()
+}
+
 // end is when a request's time is over that ends by itself at a moment; stopped says that
 // the server's planned stop ends it earlier.
 func (s *Server) end(own time.Duration) (by time.Duration, stopped bool) {
--- a/serve/stop_test.go
+++ b/serve/stop_test.go
@@ -113,9 +113,7 @@
 		s.Stop(Stop{Take: now + takeFor, Finish: now + finishFor})
 		now += takeFor - 1
 		So(s.Hold(), ShouldBeNil)
-		h := &heard{}
-		s.Serve(&Ask{ID: "a", Facts: desk.Facts{Model: "d"}, Stream: true}, h)
-		So(h.end, ShouldEqual, "end")
+		So(ended(s).end, ShouldEqual, "end")
 		s.Free()
 		now++
 		refusal := s.Hold()
@@ -126,5 +124,20 @@
 		So(fault.Code, ShouldEqual, CodeStopping)
 		So(fault.RetryAfter, ShouldBeBetween, 0, 100*time.Millisecond)
 		So(s.Held(), ShouldEqual, 0)
+		// Its head came in time, its body did not.
+		late := ended(s)
+		So(late.end, ShouldEqual, "fail")
+		So(late.fault.Code, ShouldEqual, CodeStopping)
+		So(late.fault.Verdict, ShouldEqual, verdict.NotRun)
+		s.Stop(Stop{Take: now})
+		So(s.Hold(), ShouldNotBeNil)
+		So(ended(s).end, ShouldEqual, "end")
 	})
 }
+
+// ended is one request's way through a server.
+func ended(s *Server) *heard {
+	h := &heard{}
+	s.Serve(&Ask{ID: "a", Facts: desk.Facts{Model: "d"}, Stream: true}, h)
+	return h
+}
