--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -26,6 +26,7 @@
 	"linedrum.example/linedrum/bench/callers"
 	"linedrum.example/linedrum/bench/standin"
 	"linedrum.example/linedrum/desk"
+	"linedrum.example/linedrum/drain"
 	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/lifecycle"
@@ -35,6 +36,7 @@
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/settings"
 	"linedrum.example/linedrum/strict"
+	"linedrum.example/linedrum/verdict"
 )
 
 // bench is one node that is its own fleet, with a reader and a writer.
@@ -722,3 +724,42 @@
 		b.start()
 	})
 }
+
+// TestStopRefusesLate sends a request behind a stream from before a stop, which ends when
+// requests are no longer taken.
+func TestStopRefusesLate(t *testing.T) {
+	b := begin(t, swift(), func(s *settings.Settings) { s.Bounds.Drain = strict.Duration(time.Second) })
+	Convey("what comes long after a stop has begun is refused at once, and the connection closed", t, func() {
+		conn, err := net.Dial("tcp", b.s.HTTP)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		request := func(body string) string {
+			return fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Linedrum-Kind: person\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		_, _ = io.WriteString(conn, request(`{"model":"people","prompt":"x","max_tokens":400,"stream":true}`))
+		in := bufio.NewReader(conn)
+		_, err = in.Peek(1)
+		So(err, ShouldBeNil)
+		_, _ = io.WriteString(conn, request(`{"model":"people","prompt":"y","max_tokens":3}`))
+		runs := b.count(audit.EventRun, "decode")
+		stopped := time.Now()
+		threads := lifecycle.New(context.Background())
+		threads.Start(func(context.Context) { b.node.Stop() })
+		res, err := http.ReadResponse(in, nil)
+		So(err, ShouldBeNil)
+		text, err := io.ReadAll(res.Body)
+		So(err, ShouldBeNil)
+		So(bytes.Contains(text, []byte("data: [DONE]")), ShouldBeTrue)
+		So(time.Since(stopped), ShouldBeGreaterThan, drain.Within(time.Second).Take)
+		res, err = http.ReadResponse(in, nil)
+		So(err, ShouldBeNil)
+		text, _ = io.ReadAll(res.Body)
+		So(res.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
+		So(string(text), ShouldContainSubstring, serve.CodeStopping)
+		So(res.Header.Get(verdict.Header), ShouldEqual, verdict.NotRun.String())
+		So(res.Header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(res.Close, ShouldBeTrue)
+		threads.Wait()
+		So(b.count(audit.EventRun, "decode"), ShouldEqual, runs)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -177,7 +177,7 @@
 	n.awaitPermit(ctx)
 	if ctx.Err() != nil {
 		n.log.Say(event.Stopping, nil)
-		n.leave()
+		n.end()
 		return nil, ErrStopped
 	}
 	for _, f := range n.faces {
@@ -261,18 +261,18 @@
 	}
 	draining.Wait()
 	n.awaitRetired(retiring)
-	n.leave()
-	n.cleanup.Run()
-	n.log.Say(event.Stopped, nil)
+	n.end()
 }
 
-// leave hands the duties over and leaves the ring.
-func (n *Node) leave() {
+// end hands the duties over, leaves the ring and ends everything.
+func (n *Node) end() {
 	n.mu.Lock()
 	n.core.Leave()
 	n.mu.Unlock()
 	n.awaitLeft()
 	n.log.Say(event.RingLeft, nil)
+	n.cleanup.Run()
+	n.log.Say(event.Stopped, nil)
 }
 
 // stopOf is what the requests' path is told of a planned stop that begins now.
