--- a/drain/schedule.go
+++ b/drain/schedule.go
@@ -19,9 +19,9 @@
 	closePart  = 28.0 / 32
 )
 
-// Within is the schedule of a stop that may take so long. Idle connections get half of what
-// is between Accept and Take to be closed in (Conns.Close), and the last eighth is left for
-// what follows the faces: the ring is left, and the disk closed.
+// Within is the schedule of a stop that may take so long. Idle connections are closed between
+// Accept and Take (Conns.Close), and the last eighth is left for what follows the faces: the
+// ring is left, and the disk closed.
 func Within(limit time.Duration) Schedule {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(limit)) }
 	return Schedule{Accept: part(acceptPart), Take: part(takePart), Finish: part(finishPart), Close: part(closePart)}
