TestStopRefusesLate no longer rests on how fast tokens come

Change: twelve tokens, a tenth of a second apart, under a stop of 3 s. What is asserted is as before.

--- a/bench/front/front_test.go
+++ b/bench/front/front_test.go
@@ -728,10 +728,12 @@
 // TestStopRefusesLate sends a request behind a stream from before a stop, which ends when
 // requests are no longer taken.
 func TestStopRefusesLate(t *testing.T) {
-	b := begin(t, swift(), func(s *settings.Settings) {
-		s.Bounds.Drain = strict.Duration(time.Second)
-		// Idle connections are looked at from an eighth of it on, when the stream has long ended.
-		s.Bounds.InForce = strict.Duration(16 * time.Second)
+	// The stream takes 1.1 s from its first token on. Requests are taken for 0.9 s, and idle
+	// connections are closed at 3 s.
+	pace := swift()
+	pace.PerToken = 100 * time.Millisecond
+	b := begin(t, pace, func(s *settings.Settings) {
+		s.Bounds.Drain, s.Bounds.InForce = strict.Duration(3*time.Second), strict.Duration(24*time.Second)
 	})
 	Convey("what comes long after a stop has begun is refused at once, and the connection closed", t, func() {
 		conn, err := net.Dial("tcp", b.s.HTTP)
@@ -740,7 +742,7 @@
 		request := func(body string) string {
 			return fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Linedrum-Kind: person\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		}
-		_, _ = io.WriteString(conn, request(`{"model":"people","prompt":"x","max_tokens":400,"stream":true}`))
+		_, _ = io.WriteString(conn, request(`{"model":"people","prompt":"x","max_tokens":12,"stream":true}`))
 		in := bufio.NewReader(conn)
 		_, err = in.Peek(1)
 		So(err, ShouldBeNil)
@@ -754,7 +756,7 @@
 		text, err := io.ReadAll(res.Body)
 		So(err, ShouldBeNil)
 		So(bytes.Contains(text, []byte("data: [DONE]")), ShouldBeTrue)
-		So(time.Since(stopped), ShouldBeGreaterThan, drain.Within(time.Second).Take)
+		So(time.Since(stopped), ShouldBeGreaterThan, drain.Within(b.s.Bounds.Drain.D()).Take)
 		res, err = http.ReadResponse(in, nil)
 		So(err, ShouldBeNil)
 		text, _ = io.ReadAll(res.Body)
