--- a/bench/hunt/draw.go
+++ b/bench/hunt/draw.go
@@ -70,6 +70,9 @@
 	if rollout := rand.New(rand.NewPCG(seed, rolloutStream)); rollout.IntN(rolloutDays) == 0 {
 		d.rollOut(rollout, spec)
 	}
+	if plain := rand.New(rand.NewPCG(seed, plainStream)); plain.IntN(plainDays) == 0 {
+		d.plain(plain, spec)
+	}
 	slices.SortStableFunc(d.day.Events, func(a, b platform.Event) int { return int(a.At - b.At) })
 	return d.day
 }
@@ -95,6 +98,52 @@
 	}
 }
 
+// One day in so many has a service without stages, drawn by a stream of its own as well.
+const (
+	plainDays   = 3
+	plainStream = 13
+	plainName   = "relay"
+)
+
+// plain adds a service without stages, requests for it, and troubles at its engines: few
+// slots and connections, one engine in the whole fleet at times, with and without the load
+// in its answers.
+func (d *drawer) plain(random *rand.Rand, spec platform.Spec) {
+	service := platform.PlainService{
+		Name: plainName, Engines: random.IntN(3), Slots: 1 + random.IntN(8), Queue: random.IntN(25), MaxConns: 12 + random.IntN(130),
+		Work: 5 + float64(random.IntN(30)), Silent: random.IntN(3) == 0,
+	}
+	kind := []string{platform.KindChanging, platform.KindReadOnly}[random.IntN(2)]
+	d.day.Plain = []platform.PlainService{service}
+	if len(d.day.Classes) == 0 {
+		d.day.Classes = slices.Clone(spec.Classes)
+	}
+	d.day.Classes = append(d.day.Classes, platform.Class{
+		Name: "alarm", Kind: kind, Service: plainName, PerS: float64(1 + random.IntN(8)), Aim: 120, Deadline: 1000, Retries: 1, Tries: 1 + random.IntN(3),
+		Urgency: 2, Bytes: 600, Worth: 1,
+	})
+	own := &drawer{Rand: random, zones: d.zones, span: d.span, catchUp: d.catchUp, engines: service.Engines}
+	own.several(plainTroubles, random.IntN(4))
+	for _, e := range own.day.Events {
+		e.Service = plainName
+		d.day.Events = append(d.day.Events, e)
+	}
+}
+
+// plainTroubles are what happens to the engines of a service without stages.
+var plainTroubles = []kind{
+	{"release", repeated(3, 1500*time.Millisecond)},
+	{"leave", lastEngines(atOnce)},
+	{"crash", striking(lasting(2*time.Second, 6*time.Second))},
+	{"dark", striking(lasting(2*time.Second, 6*time.Second))},
+	{"reuse", lastEngines(how([]string{"", "drain", "dark"}, atOnce))},
+	{"grey", striking(share(0.1, 0.8, how(greyWays(), lasting(2*time.Second, 7*time.Second))))},
+	{"garble", share(0.02, 0.3, how([]string{"", "extra"}, lasting(2*time.Second, 6*time.Second)))},
+	{"lost", share(0.02, 0.3, lasting(2*time.Second, 6*time.Second))},
+	{"full", striking(lasting(time.Second, 4*time.Second))},
+	{"cut_engines", striking(lasting(time.Second, 6*time.Second))},
+}
+
 // classes are the usual ones, beside requests that change something, requests that only
 // read, and streams that outlast a planned stop.
 func classes(spec platform.Spec) []platform.Class {
--- a/bench/platform/audit.go
+++ b/bench/platform/audit.go
@@ -20,7 +20,7 @@
 type auditor struct {
 	ev       *Evidence
 	bounds   Bounds
-	service  Service
+	spec     Spec
 	core     int             // machines that count
 	tries    map[string]*Try // by attempt
 	arrivals map[string][]*Arrival
@@ -32,7 +32,7 @@
 func Audit(ev *Evidence, spec Spec) []Breach {
 	ev.mu.Lock()
 	defer ev.mu.Unlock()
-	a := &auditor{ev: ev, bounds: spec.Bounds, service: spec.Service, core: spec.core(), tries: map[string]*Try{}, arrivals: map[string][]*Arrival{}}
+	a := &auditor{ev: ev, bounds: spec.Bounds, spec: spec, core: spec.core(), tries: map[string]*Try{}, arrivals: map[string][]*Arrival{}}
 	for _, t := range ev.Tries {
 		a.tries[t.Attempt] = t
 	}
@@ -631,16 +631,37 @@
 	return fmt.Sprint(count)
 }
 
+// classService is the service that the route of a class names.
+func (a *auditor) classService(class string) string {
+	for _, c := range a.spec.Classes {
+		if c.Name == class {
+			return a.spec.service(c.Service).Name
+		}
+	}
+	return a.spec.Service.Name
+}
+
+// budget holds each service to the further arrivals that requests for it allow.
 func (a *auditor) budget() {
+	a.budgetOf(a.spec.Service.Name)
+	for _, p := range a.spec.Plain {
+		a.budgetOf(p.Name)
+	}
+}
+
+func (a *auditor) budgetOf(service string) {
 	var extras, asked []time.Time
 	for _, t := range a.ev.Tries {
-		if !t.NotSent {
+		if !t.NotSent && a.classService(t.Class) == service {
 			asked = append(asked, t.Sent)
 		}
 	}
 	for _, list := range a.arrivals {
 		first, read := true, true
 		for _, r := range list {
+			if a.spec.service(r.Service).Name != service {
+				continue
+			}
 			if r.Stage == StagePrompt && r.ran() && read {
 				read = false // the first prompt that an engine takes up is not extra
 				continue
@@ -668,7 +689,7 @@
 			requests = max(requests, within(asked, from.Add(-shift), from.Add(span-shift)))
 		}
 		if allowed := a.bounds.RetryRatio*float64(requests) + float64(a.bounds.RetryExtra); float64(j-i) > allowed {
-			a.say("BUDGET", "%d further arrivals within %v of %s, %.1f allowed (%d requests)", j-i, span, from.Format("05.000"), allowed, requests)
+			a.say("BUDGET", "%d further arrivals at %s within %v of %s, %.1f allowed (%d requests)", j-i, service, span, from.Format("05.000"), allowed, requests)
 			return
 		}
 	}
@@ -705,14 +726,17 @@
 }
 
 func (a *auditor) failback() {
-	allowed := a.service.Warming*a.bounds.ColdExcess + float64(a.bounds.ColdSlack)
-	byEngine := map[string][]time.Time{}
+	byEngine, serviceOf := map[string][]time.Time{}, map[string]Service{}
 	for _, r := range a.ev.Arrivals {
-		if r.Cold && !r.Misled && !a.heldUp(r) {
+		service := a.spec.service(r.Service)
+		boundless := service.plain != nil && service.Warming == 0
+		if r.Cold && !boundless && !r.Misled && !a.heldUp(r) {
 			byEngine[r.Engine] = append(byEngine[r.Engine], r.At)
+			serviceOf[r.Engine] = service
 		}
 	}
 	for id, list := range byEngine {
+		allowed := serviceOf[id].Warming*a.bounds.ColdExcess + float64(a.bounds.ColdSlack)
 		for i, from := range list {
 			n := 0
 			for _, at := range list[i:] {
--- a/bench/platform/day.go
+++ b/bench/platform/day.go
@@ -25,6 +25,7 @@
 	Engines int             `json:"engines,omitzero" min:"1" max:"30"`
 	Load    float64         `json:"load,omitzero" min:"0" max:"20"` // of the usual
 	Classes []Class         `json:"classes,omitzero" max:"32"`      // instead of the usual ones
+	Plain   []PlainService  `json:"plain,omitzero" max:"4"`         // services without stages
 	Events  []Event         `json:"events,omitzero" max:"200"`
 	Closing string          `json:"closing,omitzero" any:"none kill_all power_off_all power_timed wipe_acked"`
 }
@@ -39,7 +40,9 @@
 	Count int             `json:"count,omitzero" min:"0" max:"1000"`
 	X     float64         `json:"x,omitzero" min:"0" max:"1000"`
 	Core  bool            `json:"core,omitzero"` // machines with a disk
-	Zone  string          `json:"zone,omitzero"`
+	// Service is whose engines are struck; without one the service with stages.
+	Service string `json:"service,omitzero" max:"63"`
+	Zone    string `json:"zone,omitzero"`
 }
 
 // ParseDay reads a day file; its faults are named by place.
@@ -92,6 +95,7 @@
 	if len(d.Classes) > 0 {
 		s.Classes = d.Classes
 	}
+	s.Plain = d.Plain
 	s.Classes = slices.Clone(s.Classes)
 	for i := range s.Classes {
 		if s.Classes[i].Kind == "" {
@@ -321,7 +325,7 @@
 
 // engines picks engines for an event: one in three, unless it counts them.
 func (s *Site) engines(e Event) []*Engine {
-	pool := s.Engines()
+	pool := s.enginesOf(e.Service)
 	count := e.Count
 	if count == 0 {
 		count = max(len(pool)/3, 1)
@@ -418,16 +422,16 @@
 		}
 		s.Evacuate(ctx, zone, false)
 	case "leave":
-		for _, one := range s.engines(Event{Count: max(e.Count, 1)}) {
+		for _, one := range s.engines(Event{Count: max(e.Count, 1), Service: e.Service}) {
 			s.Leave(one)
 			lifecycle.Pause(ctx, gap)
 		}
 	case "release":
-		return s.Release(ctx, max(e.Count, 1), gap)
+		return s.Release(ctx, s.enginesOf(e.Service), max(e.Count, 1), gap)
 	case "crash", "dark":
 		group := lifecycle.New(ctx)
 		defer group.Stop()
-		for _, one := range s.engines(Event{Count: max(e.Count, 1)}) {
+		for _, one := range s.engines(Event{Count: max(e.Count, 1), Service: e.Service}) {
 			group.Start(func(ctx context.Context) {
 				if e.Kind == "dark" {
 					_ = s.Dark(ctx, one, down)
@@ -435,7 +439,7 @@
 				}
 				s.Crash(one)
 				lifecycle.Pause(ctx, max(down, time.Duration(s.Spec.Bounds.ReuseAfter)*time.Second))
-				_, _ = s.Raise(one.Zone, one.Addr, one.Version, StageGenerate, true)
+				_, _ = s.again(one, one.Addr, one.Version, StageGenerate)
 			})
 		}
 		group.Wait()
@@ -514,7 +518,7 @@
 	case "grey":
 		s.trouble(ctx, e, Trouble{Grey: or(e.X, greyShare), GreyHow: GreyWay(e.How)})
 	case "reuse":
-		return s.Reuse(ctx, s.engines(Event{Count: max(e.Count, 1)}), e.How)
+		return s.Reuse(ctx, s.engines(Event{Count: max(e.Count, 1), Service: e.Service}), e.How)
 	case "reset":
 		return s.Reset(s.some(e), or(e.X, resetShare))
 	case "seeds":
--- a/bench/platform/engine.go
+++ b/bench/platform/engine.go
@@ -92,6 +92,7 @@
 	kept     map[string]*keep
 	handles  map[string]*handle
 	moveFree time.Time
+	places   places   // of a plain engine
 	past     []Report // oldest first
 }
 
@@ -160,8 +161,10 @@
 		e.cold = e.began.Add(time.Duration(service.Warmup * float64(time.Second)))
 	}
 	e.crew.Start(e.accept)
-	e.crew.Start(e.work)
-	e.crew.Start(e.remember)
+	if service.plain == nil {
+		e.crew.Start(e.work)
+		e.crew.Start(e.remember)
+	}
 	return e, nil
 }
 
@@ -337,7 +340,7 @@
 	}
 	fmt.Fprintf(b, "%s: %s\r\n", HeaderServer, e.ID)
 	e.mu.Lock()
-	fmt.Fprintf(b, "%s: %d,%d,%d\r\n", HeaderLoad, len(e.running), len(e.waiting), e.service.Engine.Slots)
+	b.WriteString(e.loadHeader())
 	leaving := e.draining
 	e.mu.Unlock()
 	if leaving {
@@ -364,6 +367,9 @@
 	switch {
 	case req.Method == http.MethodGet && req.URL.Path == e.service.Health:
 		ev.add(func() { ev.Health++ })
+		if e.service.plain != nil {
+			return e.plainHealth(ctx, l, req)
+		}
 		e.mu.Lock()
 		well, left := !e.draining && !e.trouble.Full, time.Until(e.cold)
 		e.mu.Unlock()
@@ -375,6 +381,10 @@
 			return e.answer(l, req, http.StatusServiceUnavailable, header, nil)
 		}
 		return e.answer(l, req, http.StatusOK, header, nil)
+	case e.service.plain != nil && strings.HasPrefix(req.URL.Path, "/-/"):
+		// It has no report, no handles and no stage to change.
+		ev.add(func() { ev.Health++; ev.Strange++ })
+		return e.refuse(l, req, http.StatusServiceUnavailable)
 	case req.Method == http.MethodGet && req.URL.Path == "/-/report":
 		ev.add(func() { ev.Health++ })
 		e.mu.Lock()
@@ -417,6 +427,9 @@
 	case t.Grey > 0 && e.draw() < t.Grey:
 		return e.grey(ctx, l, req, rec, t.GreyHow)
 	}
+	if e.service.plain != nil {
+		return e.whole(ctx, l, req, rec)
+	}
 	if req.Header.Get(HeaderTokens) == "" {
 		return e.plain(ctx, l, req, rec)
 	}
@@ -424,7 +437,7 @@
 }
 
 func (e *Engine) holds(version string) bool {
-	for _, m := range e.service.Engine.Models {
+	for _, m := range e.models() {
 		if strconv.Itoa(max(m.Version, 1)) == version {
 			return true
 		}
--- a/bench/platform/evidence.go
+++ b/bench/platform/evidence.go
@@ -148,6 +148,7 @@
 	Served   []Served
 	Calls    int // to the platform's list
 	Refused  int // of these, over the rate
+	Strange  int // calls to plain engines that these know nothing of
 	Conns    int // opened to engines
 	Health   int // health probes and reports
 	Moved    int // tokens moved between engines
--- a/bench/platform/site.go
+++ b/bench/platform/site.go
@@ -153,6 +153,9 @@
 			i++
 		}
 	}
+	if err := s.raisePlain(); err != nil {
+		return nil, err
+	}
 	for i, place := range spec.Places {
 		if _, err := s.place(fmt.Sprintf("edge-%s-%d", place.Zone, i+1), place); err != nil {
 			return nil, err
@@ -291,10 +294,16 @@
 	return e, nil
 }
 
-// Engines are those of the service that live.
-func (s *Site) Engines() (out []*Engine) {
+// Engines are those of the service with stages that live.
+func (s *Site) Engines() []*Engine { return s.enginesOf(s.Spec.Service.Name) }
+
+// enginesOf are those of a service that live; an empty name is the service with stages.
+func (s *Site) enginesOf(service string) (out []*Engine) {
+	if service == "" {
+		service = s.Spec.Service.Name
+	}
 	for _, e := range s.living() {
-		if e.service.Name == s.Spec.Service.Name {
+		if e.service.Name == service {
 			out = append(out, e)
 		}
 	}
@@ -400,8 +409,8 @@
 		}
 		e.mu.Lock()
 		one := Listed{
-			Service: e.service.Name, Address: e.Addr, Zone: e.Zone, Version: e.Version, Slots: e.service.Engine.Slots, State: "ready", ID: e.ID,
-			Cold: max(0, e.cold.Sub(now).Milliseconds()), Stage: e.stage, Models: e.service.Engine.Models,
+			Service: e.service.Name, Address: e.Addr, Zone: e.Zone, Version: e.Version, Slots: e.slots(), State: "ready", ID: e.ID,
+			Cold: max(0, e.cold.Sub(now).Milliseconds()), Stage: e.stage, Models: e.models(),
 		}
 		e.mu.Unlock()
 		if !l.drain.IsZero() && !l.drain.After(then) {
--- a/bench/platform/spec.go
+++ b/bench/platform/spec.go
@@ -55,11 +55,12 @@
 	Urgency  int     `json:"urgency,omitzero" min:"0" max:"9"`
 	Gap      int     `json:"gap_ms,omitzero" min:"0" max:"60000"`
 	PickUp   bool    `json:"pick_up,omitzero"`
-	Shared   []int   `json:"shared,omitzero"` // tokens of the parts that requests share
-	Things   []int   `json:"things,omitzero"` // how many such parts there are, for each
-	Own      int     `json:"own,omitzero"`    // tokens of its own part
-	Out      int     `json:"out,omitzero"`    // tokens put out
-	Bytes    int     `json:"bytes,omitzero"`  // of the body
+	Service  string  `json:"service,omitzero" max:"63"` // that the route names; without one the service with stages
+	Shared   []int   `json:"shared,omitzero"`           // tokens of the parts that requests share
+	Things   []int   `json:"things,omitzero"`           // how many such parts there are, for each
+	Own      int     `json:"own,omitzero"`              // tokens of its own part
+	Out      int     `json:"out,omitzero"`              // tokens put out
+	Bytes    int     `json:"bytes,omitzero"`            // of the body
 	Worth    float64 `json:"worth,omitzero"`
 	Rude     float64 `json:"rude,omitzero" min:"0" max:"1"`   // share of clients that try again at once, and more often
 	Follow   float64 `json:"follow,omitzero" min:"0" max:"1"` // share of answers after which the client asks again at once
@@ -80,6 +81,7 @@
 	Places   []Place
 	Engines  int // of the service in each zone
 	Service  Service
+	Plain    []PlainService // beside it
 	Pace     Pace
 	Classes  []Class
 	Clients  int // in each zone
@@ -125,6 +127,9 @@
 // first is the configuration that a day begins with.
 func (s Spec) first() Config {
 	c := Config{Version: 3, Services: []Service{s.Service}, Limits: Limits{Header: 16384, Body: 4 << 20, HeaderWait: 3000, Idle: 15000}}
+	for _, p := range s.Plain {
+		c.Services = append(c.Services, p.service())
+	}
 	for _, class := range s.Classes {
 		c.Routes = append(c.Routes, s.route(class))
 	}
@@ -139,7 +144,7 @@
 func (s Spec) route(c Class) Route {
 	r := Route{
 		Name: "r-" + c.Name, Host: c.Name + ".example", Path: "/" + c.Name + "/", Kind: c.Kind, GiveUp: c.Deadline, Target: c.Aim, Urgency: c.Urgency,
-		Service: s.Service.Name, Tries: max(c.Tries, 1), PickUp: c.PickUp, Gap: c.Gap, Sticky: len(c.Shared) > 0,
+		Service: s.service(c.Service).Name, Tries: max(c.Tries, 1), PickUp: c.PickUp, Gap: c.Gap, Sticky: len(c.Shared) > 0,
 	}
 	if c.Out == 0 && c.Kind != KindStream {
 		r.Gap = 0
--- a/bench/platform/trouble.go
+++ b/bench/platform/trouble.go
@@ -245,14 +245,13 @@
 
 // Release replaces engines one after the other: the new one starts first, the old
 // one drains.
-func (s *Site) Release(ctx context.Context, count int, gap time.Duration) error {
-	old := s.Engines()
+func (s *Site) Release(ctx context.Context, old []*Engine, count int, gap time.Duration) error {
 	for i := range min(count, len(old)) {
 		e := old[i*7%len(old)]
 		e.mu.Lock()
 		stage := e.stage
 		e.mu.Unlock()
-		if _, err := s.Raise(e.Zone, "", "v2", stage, true); err != nil {
+		if _, err := s.again(e, "", "v2", stage); err != nil {
 			return err
 		}
 		lifecycle.Pause(ctx, gap/2)
@@ -270,7 +269,7 @@
 	}
 	s.Crash(e)
 	lifecycle.Pause(ctx, span)
-	_, err := s.Raise(e.Zone, e.Addr, e.Version, StageGenerate, true)
+	_, err := s.again(e, e.Addr, e.Version, StageGenerate)
 	return err
 }
 
--- a/bench/platform/words.go
+++ b/bench/platform/words.go
@@ -86,6 +86,8 @@
 	Warmup   float64 `json:"warmup_s"`
 	Warming  float64 `json:"warming_per_s"`
 	Engine   *Facts  `json:"engine,omitempty"`
+
+	plain *PlainService // nil: its engines have stages and models
 }
 
 // Facts are what is so of every engine of a service.
