Plain services: engines without stages are a kind of their own, selected by load and zone

Ruled out: a special case in the platform's adapter (the product's plan, ledger and explanations would not know why nothing is read apart); shares of slots (24 slots for 91 nodes leave most nodes none).

Change: desk pools may be plain; the ledger begins with a decode; pairing selects by answers' load, own requests, zone and rest; connections are dealt out over the fleet, used and unused; a request is offered within a quarter of its aim or refused at once; a connection has that time too.

--- a/desk/check.go
+++ b/desk/check.go
@@ -13,6 +13,9 @@
 	for i, p := range f.Pools {
 		at := func(key string) string { return fmt.Sprintf("pools[%d].%s", i, key) }
 		checkName(faults, pools, at, p.Name)
+		if p.Plain && p.roles() {
+			faults.Add(at("plain"), "stands beside what engines with roles have: min_prefill, min_decode, or the engine's memory, link, hold or switch")
+		}
 		if p.Health != "" && !(strings.HasPrefix(p.Health, "/") && plainPath(p.Health)) {
 			faults.Add(at("health"), "%q must be a path: it begins with / and holds no blanks", p.Health)
 		}
@@ -41,6 +44,12 @@
 	}
 }
 
+// roles tells whether a pool says something that only engines with roles have.
+func (p Pool) roles() bool {
+	e := p.Engine
+	return p.MinPrefill > 1 || p.MinDecode > 1 || e.MemoryTokens > 0 || e.TokenBytes > 0 || e.LinkMbps > 0 || e.Hold > 0 || e.Switch > 0
+}
+
 func (d *Desk) checkPools(faults *strict.Faults, at func(string) string, pools map[string]bool) {
 	const unknown = "no pool of this file is called %q"
 	switch {
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -38,7 +38,10 @@
 	WarmRate float64         `json:"warm_rate,omitempty" min:"0" max:"100000"`
 	WarmFor  strict.Duration `json:"warm_for,omitempty" min:"0s" max:"10m"` // an engine is cold for so long from its start
 	Health   string          `json:"health,omitempty" max:"256"`            // the path that tells an engine's health
-	Engine   Engine          `json:"engine,omitempty"`
+	// Plain engines have no roles and read no prompts: each takes a request whole, gives no
+	// report and takes no order (design.md section 5.11).
+	Plain  bool   `json:"plain,omitempty"`
+	Engine Engine `json:"engine,omitempty"`
 }
 
 // Engine is what all engines of a pool have in common; 0 where it is not known.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -15,6 +15,8 @@
 const (
 	Prefill = "prefill"
 	Decode  = "decode"
+	// Whole is what engines without roles do: they take each request whole.
+	Whole = "whole"
 )
 
 // List is the platform's list of engines, whole, under the platform's own serial.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -50,11 +50,12 @@
 	PureRead  bool `json:"pure_read,omitempty"`
 	TakenOnce bool `json:"taken_once,omitempty"`
 	MayDirect bool `json:"may_direct,omitempty"`
+	Whole     bool `json:"whole,omitempty"`
 }
 
 // TermsOf reads a ledger's terms.
 func TermsOf(l *ledger.Ledger) Terms {
-	return Terms{l.Changing, l.Most, l.Resume, l.PureRead, l.TakenOnce, l.MayDirect}
+	return Terms{l.Changing, l.Most, l.Resume, l.PureRead, l.TakenOnce, l.MayDirect, l.Whole}
 }
 
 // Serials in force when the request had been read.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -61,6 +61,8 @@
 	TakenOnce bool
 	// MayDirect: writers read prompts by themselves where need be.
 	MayDirect bool
+	// Whole: engines take the request whole, so that there is no prefill.
+	Whole bool
 }
 
 // View is the world outside the ledger at one instant.
@@ -164,7 +166,7 @@
 
 // DirectOnly tells that no prefill can come any more: a writer has to read.
 func (l *Ledger) DirectOnly() bool {
-	return !l.Holds() && (!l.room(StepPrefill) || l.count(Decode, CodeLapsed) > 1)
+	return !l.Whole && !l.Holds() && (!l.room(StepPrefill) || l.count(Decode, CodeLapsed) > 1)
 }
 
 // repeats tells whether one more go of the phase is beyond what the request itself
@@ -279,7 +281,7 @@
 		return Move{Step: StepClaim}
 	}
 	move := Move{Step: StepPrefill}
-	if l.Holds() || v.Direct {
+	if l.Whole || l.Holds() || v.Direct {
 		move.Step = StepDecode
 	}
 	if move.Step == StepPrefill && l.DirectOnly() {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -237,6 +237,10 @@
 		want Move
 	}{
 		{"a direct go needs no prefill", Ledger{}, direct(best), Move{Step: StepDecode}},
+		{"nor does one that is taken whole", Ledger{Whole: true}, best, Move{Step: StepDecode}},
+		{"one that is taken whole waits for an engine, not for a prefill", Ledger{Whole: true, Most: 1}, View{Permit: true, Budget: true}, Move{Step: StepWait, Code: "no-capacity"}},
+		{"and is told not-run where its one engine turned it away", Ledger{Whole: true, Most: 1, Changing: true, Goes: []Go{busy}}, best, Move{Step: StepFail, Verdict: verdict.NotRun, Code: CodeGoes}},
+		{"but goes on where that was not reached", Ledger{Whole: true, Most: 1, Changing: true, Goes: []Go{dark}}, best, Move{Step: StepDecode, Repeat: true}},
 		{"one that was turned away tries another", Ledger{Goes: []Go{busy}}, direct(best), Move{Step: StepDecode, Repeat: true}},
 		{"the first read is free, the decode after it the request's own", Ledger{Most: 1, Goes: []Go{read}}, best, Move{Step: StepDecode}},
 		{"a read turned away counts", Ledger{Most: 1, Goes: []Go{refused}}, best, Move{Step: StepFail, Verdict: verdict.NotRun, Code: CodeGoes}},
--- a/node/duty.go
+++ b/node/duty.go
@@ -24,6 +24,9 @@
 			return
 		}
 		for _, pool := range picture.Desk.Pools {
+			if pool.Plain {
+				continue // its engines have no roles
+			}
 			key := core.KeyRoles + pool.Name
 			n.mu.Lock()
 			held := n.core.Hold(key) && n.core.Keeper.Held()
--- a/node/engines.go
+++ b/node/engines.go
@@ -67,6 +67,7 @@
 	began    time.Duration   // when this node last nominated it for a go; 0: never
 	sent     []time.Duration // when this node sent the goes of the last pairing.ColdWindow there
 	cold     time.Duration   // until when it is cold
+	busy     float64         // of a plain engine: requests there, smoothed over what its answers told
 }
 
 // told tells whether the list says all of an engine that service needs.
@@ -167,6 +168,10 @@
 		if t.gone[e.Name] {
 			e.State = engine.Left
 		}
+		if pool, plain := t.plainPool(e.Pool); plain {
+			out = append(out, t.observePlain(e, s, pool, now))
+			continue
+		}
 		role := t.picture.Roles[e.Pool].Table.Roles[e.Name]
 		one := pairing.Server{
 			Listed: e, Role: role, Load: s.load, Seen: s.at > 0 && now-s.at < t.stale,
@@ -250,6 +255,7 @@
 	if t.picture.Desk != nil {
 		if p, ok := t.picture.Desk.Pool(want.Pool); ok {
 			v.SiteCost, v.WarmRate, v.WarmFor = p.SiteCost, p.WarmRate, p.WarmFor.D()
+			v.Plain, v.Connections = p.Plain, p.Connections
 			v.Engine = pairing.Facts{
 				Slots: p.Engine.Slots, MemoryTokens: p.Engine.MemoryTokens, TokenBytes: p.Engine.TokenBytes, LinkMbps: p.Engine.LinkMbps,
 			}
@@ -367,6 +373,9 @@
 	if s == nil || t.picture.Desk == nil || len(parts) == 0 {
 		return
 	}
+	if _, plain := t.plainPool(pool); plain {
+		return
+	}
 	t.kept.Note(name, s.listed.Life, parts, t.memory(pool))
 }
 
@@ -393,8 +402,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[name]
+	_, plain := t.plainPool(pool)
 	return s != nil && s.listed.Pool == pool && !s.listed.Leaving() && !t.gone[name] && !t.picture.Sites.Empty[s.listed.Site] &&
-		t.picture.Roles[pool].Table.Roles[name] == role
+		(plain || t.picture.Roles[pool].Table.Roles[name] == role)
 }
 
 // linkCost is what is remembered of the way between two engines. It fades, so
@@ -506,6 +516,9 @@
 	t.turn++
 	var out []engine.Listed
 	for _, s := range t.servers {
+		if _, plain := t.plainPool(s.listed.Pool); plain {
+			continue // it gives no report: its answers tell
+		}
 		if t.toldOf(s.listed) && (t.turn%2 != 0 || !t.duties[s.listed.Pool]) {
 			continue // each report has its price: whoever plans the roles asks, half as often
 		}
@@ -533,6 +546,10 @@
 	if s == nil {
 		return
 	}
+	if _, plain := t.plainPool(s.listed.Pool); plain {
+		s.heardPlain(load, now, t.stale)
+		return
+	}
 	s.load.Running, s.load.Waiting, s.since = load.Running, load.Waiting, 0
 	if load.Slots > 0 {
 		s.load.Slots = load.Slots
@@ -583,6 +600,9 @@
 	defer t.mu.Unlock()
 	t.latest = nil
 	if s := t.servers[name]; s != nil {
+		if _, plain := t.plainPool(s.listed.Pool); plain {
+			return // no report would end it: it rests (RestFor)
+		}
 		s.load.Running = max(s.load.Running, s.load.Slots)
 	}
 }
--- a/pairing/cost.go
+++ b/pairing/cost.go
@@ -313,6 +313,9 @@
 // Nominate finds the best reader and writer together, or a writer that reads by
 // itself, where sizes are known.
 func (v View) Nominate(servers []Server) (Pair, bool) {
+	if v.Plain {
+		return v.selectPlain(servers)
+	}
 	c := v.cost(servers)
 	var pair Pair
 	writers := make([]Server, 0, len(servers))
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -26,6 +26,8 @@
 	Cold    time.Duration `json:",omitempty"` // it stays cold for so long yet
 	Quiet   time.Duration `json:",omitempty"` // since this node last began a go there
 	Recent  int           `json:",omitempty"` // goes that this machine may have sent there within ColdWindow
+	// Idle is how many unused connections this node may keep to it; 0: no bound; NoIdle.
+	Idle int `json:",omitempty"`
 }
 
 // View is everything else that a nomination rests on.
@@ -56,6 +58,10 @@
 	Told       bool          `json:",omitempty"` // backlogs are told among the nodes: the engines' reports of reads add nothing
 	WarmRate   float64       `json:",omitempty"` // requests a second that a cold engine bears, of all nodes
 	WarmFor    time.Duration `json:",omitempty"` // an engine is cold for so long from its start
+	// Plain: the pool's engines have no roles, and one of them takes the request whole.
+	Plain bool `json:",omitempty"`
+	// Connections is the most that all nodes together may have to one engine; 0: no bound.
+	Connections int `json:",omitempty"`
 }
 
 // Facts are what all engines of a pool have in common; 0 where it is not known.
--- a/serve/goes.go
+++ b/serve/goes.go
@@ -64,6 +64,10 @@
 	g := Go{
 		Ask: q.ask, Server: s.Listed, Model: q.desk.Model, Left: q.ledger.Expiry - q.s.clock.Now(), Urgency: q.kind.Urgency,
 		Fence: q.fence(s), Decided: q.decided, InForce: q.inForce, Out: q.out, After: q.ask.After, Again: q.wentTo(s.Name),
+		Idle: s.Idle,
+	}
+	if q.plain {
+		g.Connect = q.offerWithin()
 	}
 	if q.last != "" {
 		g.After = q.last
--- a/serve/pair.go
+++ b/serve/pair.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// offerPart is the part of its aim within which a request for a plain engine is offered to
+// one, or refused: a refusal costs little until then, and the engines are hardly ever full
+// for longer.
+const offerPart = 4
+
+// comeBackPart is when a request for a plain engine that was refused comes back, as a part
+// of its aim: soon enough to be in time yet.
+const comeBackPart = 2
+
+// offerWithin is how long a request for a plain engine may wait for one; 0: to its deadline.
+func (q *request) offerWithin() time.Duration { return q.kind.Aim.D() / offerPart }
+
+// tooMany refuses a request that no engine can take now.
+func (q *request) tooMany(comeBack time.Duration) *verdict.Error {
+	fault := queueFull(comeBack)
+	if q.plain && q.kind.Aim > 0 {
+		fault.RetryAfter = q.kind.Aim.D() / comeBackPart
+	}
+	return fault
+}
+
 // await waits for a pair of engines, in the queue of the caller's kind.
 func (q *request) await(move ledger.Move) *verdict.Error {
 	ctx, cancel := q.expiryContext()
@@ -74,19 +95,27 @@
 		terms.Aim = max(aim-(q.s.clock.Now()-q.arrived), 1)
 		terms.Free = func() bool { return q.engines.Idle(q.pool, q.s.clock.Now()) }
 	}
+	if within := q.offerWithin(); q.plain && within > 0 && !begun {
+		var ends context.CancelFunc
+		ctx, ends = context.WithTimeout(ctx, max(within-(q.s.clock.Now()-q.arrived), 0))
+		defer ends()
+	}
 	w, ok, comeBack := q.s.gate.Admit(q.line(), terms, q.reserve)
 	if !ok {
-		return queueFull(comeBack)
+		return q.tooMany(comeBack)
 	}
 	if !q.awaitTurn(ctx, w, begun) {
 		// The ledger sees the expiry, that the caller left, or that there is no lease. If
 		// the grant came at the same moment, the reservation is given back with the
 		// request's end.
-		q.s.gate.Leave(w)
+		granted := q.s.gate.Leave(w)
+		if q.plain && !begun && !granted && q.inHand() {
+			return q.tooMany(0)
+		}
 		return nil
 	}
 	if gaveUp, comeBack := w.GaveUp(); gaveUp && !begun {
-		fault := queueFull(comeBack)
+		fault := q.tooMany(comeBack)
 		fault.Code, fault.Reason = "too-busy", "no engine will come free within half of the request's time"
 		return fault
 	}
@@ -113,6 +142,13 @@
 	}
 }
 
+// inHand tells that the request is still to be answered by an engine: its client is there,
+// its time is not over, and there is a lease.
+func (q *request) inHand() bool {
+	_, held := q.fleet.InForce()
+	return held && q.ctx.Err() == nil && q.s.givenUp.Err() == nil && q.s.clock.Now() < q.ledger.Expiry
+}
+
 // leaseTicks is how soon a lapsed lease is noticed, as a part of the in-force bound.
 const leaseTicks = 200
 
--- a/serve/ports.go
+++ b/serve/ports.go
@@ -74,6 +74,11 @@
 	InForce InForce // what the go was decided under; nothing is sent once its lease ran out
 	Out     int     // most tokens to be put out: what was asked, or what its kind takes
 	After   string  // resume after the piece of this id; empty: from the start
+	// Idle is how many unused connections may be kept to the engine; 0: as the speech likes,
+	// pairing.NoIdle: none.
+	Idle int
+	// Connect is how long a new connection may take; 0: as the speech likes.
+	Connect time.Duration
 	// Again says that this request was sent to this very engine before: what that go's
 	// connection still gives bears the same id, so this go needs another connection.
 	Again bool
--- a/serve/request.go
+++ b/serve/request.go
@@ -48,6 +48,7 @@
 	pool   string
 	out    int    // most tokens to be put out
 	serial uint64 // of the desk file
+	plain  bool   // the pool's engines take requests whole
 }
 
 func (s *Server) request(ask *Ask, caller Caller) *request {
@@ -283,6 +284,8 @@
 // govern puts the request under a desk of the file in force.
 func (q *request) govern(p Picture, d desk.Desk, k desk.Kind) {
 	q.desk, q.kind, q.pool = d, k, d.Pool
+	pool, _ := p.Desk.Pool(d.Pool)
+	q.plain, q.ledger.Whole = pool.Plain, pool.Plain
 	q.serial = p.DeskSerial
 	q.ledger.Changing, q.ledger.Resume, q.ledger.Most = k.Changing, k.Resume, k.Goes
 	q.ledger.PureRead, q.ledger.TakenOnce, q.ledger.MayDirect = q.s.manner.PureRead, q.s.manner.TakenOnce, q.s.manner.MayDirect
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -29,6 +29,7 @@
 type world struct {
 	file   *desk.File
 	direct bool
+	plain  bool     // the pool's engines take requests whole
 	begun  []string // "phase engine after", in order
 	freed  []string
 	taken  int                           // reservations not given back
@@ -194,7 +195,7 @@
 func (w *world) path(kind desk.Kind, book *explain.Book) *Server {
 	kind.Name, kind.Queue, kind.MaxTokens, kind.Share, kind.Streams, kind.Once = "k", 10, 100, 1, true, desk.OnceNever
 	kind.Expiry = settings.Default().Bounds.Recovery
-	b, err := json.Marshal(desk.File{Pools: []desk.Pool{{Name: "p", MinPrefill: 1, MinDecode: 1}}, Desks: []desk.Desk{{Name: "d", Pool: "p", Kinds: []desk.Kind{kind}}}})
+	b, err := json.Marshal(desk.File{Pools: []desk.Pool{{Name: "p", MinPrefill: 1, MinDecode: 1, Plain: w.plain}}, Desks: []desk.Desk{{Name: "d", Pool: "p", Kinds: []desk.Kind{kind}}}})
 	So(err, ShouldBeNil)
 	file, faults := desk.Parse(b)
 	So(faults, ShouldBeEmpty)
