What is read is told by one relay a zone in fleets of more than 24 nodes

Change: announcements of 45 bytes (prefixcache/batch.go) go to one node in each zone, which passes them on there in batches (node/relay.go).

--- a/node/engines.go
+++ b/node/engines.go
@@ -41,8 +41,11 @@
 	kept     *prefixcache.Book
 	gone     map[string]bool         // left or leaving by this node's own look, though not yet in force
 	notices  chan prefixcache.Notice // of this node's goes, for the cohort
-	tick     time.Duration           // a snapshot is used for no longer
-	latest   *snapshot               // nil: something that it rests on has changed since
+	// The same in the short form, for fleets that tell by relays; hashes finds engines by it.
+	announcements chan prefixcache.Announcement
+	hashes        map[uint32]string
+	tick          time.Duration            // a snapshot is used for no longer
+	latest        *snapshot                // nil: something that it rests on has changed since
 }
 
 // snapshot is the pairing's picture of the servers at a moment, without what they keep
@@ -84,7 +87,7 @@
 func newEngines(site string, recovery time.Duration, listing bool) *engines {
 	return &engines{
 		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6, tick: recovery / 1200,
-		kept: prefixcache.New(), notices: make(chan prefixcache.Notice, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
+		kept: prefixcache.New(), notices: make(chan prefixcache.Notice, noticeDepth), announcements: make(chan prefixcache.Announcement, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
 	}
 }
 
@@ -112,6 +115,10 @@
 		}
 		s.listed = e
 	}
+	t.hashes = make(map[uint32]string, len(t.servers))
+	for name, s := range t.servers {
+		t.hashes[prefixcache.NameHash(name, s.listed.Life)] = name
+	}
 	t.gone = nil
 	t.kept.Retain(func(name string) bool { return listed[name] })
 	for name := range t.servers {
@@ -242,7 +249,7 @@
 func (t *engines) view(want serve.Want, now time.Duration) pairing.View {
 	v := pairing.View{
 		Pool: want.Pool, Site: t.site, Self: t.self, Empty: t.picture.Sites.Empty, Prefix: want.Prefix, Ramp: t.ramp,
-		Nodes: t.nodes, Rank: t.rank, Partial: t.partial, Aim: want.Aim, Pause: want.Pause, DirectOnly: want.DirectOnly, Told: t.telling(),
+		Nodes: t.nodes, Rank: t.rank, Partial: t.partial, Aim: want.Aim, Pause: want.Pause, DirectOnly: want.DirectOnly, Told: true,
 	}
 	if want.Ask != nil {
 		v.Parts, v.Tokens, v.Out = want.Ask.Parts, want.Ask.Tokens, want.Ask.Out
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 	speech   serve.Speech
 	lister   serve.Lister // nil: the list is handed to the nodes
 	path     *serve.Server
+	relay    relay // of what others read
 	faces    []Face
 	killed   bool // once a planned stop has taken Bounds.Drain
 	stopping atomic.Bool
@@ -171,6 +172,8 @@
 	n.crew.Start(n.watchLink)
 	n.crew.Start(n.pollEngines)
 	n.crew.Start(n.tellReads)
+	n.crew.Start(n.announceReads)
+	n.crew.Start(n.passReadsOn)
 	if n.lister != nil {
 		n.crew.Start(n.tickList)
 	}
@@ -350,7 +353,7 @@
 	case register.KindQueried:
 		h.n.desks.prepare(m)
 	case register.KindReads:
-		h.n.engines.told(m.Cell.Value, h.n.clock.Now())
+		h.n.heardReads(m.Cell.Value)
 		return
 	}
 	h.n.mu.Lock()
--- a/node/reads.go
+++ b/node/reads.go
@@ -16,13 +16,13 @@
 
 const (
 	// tellAll is the largest fleet in which every node tells every other one: with n
-	// nodes each gets (n-1)/n of all goes.
+	// nodes each gets (n-1)/n of all goes. Larger ones tell by relays.
 	tellAll     = 24
 	noticeDepth = 256 // what waits beyond it is not told
 )
 
-// telling is whether notices go round. Called under t.mu.
-func (t *engines) telling() bool { return t.nodes <= tellAll }
+// direct tells whether each node tells each other one itself. Called under t.mu.
+func (t *engines) direct() bool { return t.nodes <= tellAll }
 
 // memory of one of a pool's engines, in tokens; 0: not known. Called under t.mu.
 func (t *engines) memory(pool string) int {
@@ -52,11 +52,16 @@
 	own := n
 	own.Writer, own.WriterLife = "", ""
 	t.believe(own, pair.Writer.Pool, now)
-	if t.telling() {
+	if t.direct() {
 		select {
 		case t.notices <- n:
 		default:
 		}
+		return
+	}
+	select {
+	case t.announcements <- t.announcement(pair, parts):
+	default:
 	}
 }
 
--- a/node/reads_test.go
+++ b/node/reads_test.go
@@ -67,4 +67,22 @@
 		other.told(n.Encode(), now)
 		So(other.kept.Tokens("nobody", "", parts), ShouldEqual, 0)
 	})
+	Convey("in a larger fleet it is told in the short form, and believed by all but who sent it", t, func() {
+		e := table()
+		e.self = "10.0.0.1:7100"
+		e.place(tellAll+1, 0, false)
+		_, _, _ = e.Reserve(want, now)
+		So(e.notices, ShouldBeEmpty)
+		a := <-e.announcements
+		other := table()
+		other.self = "10.0.0.2:7100"
+		other.announced([]prefixcache.Announcement{a}, now)
+		So(other.kept.Backlog("r", "", now), ShouldBeGreaterThan, 100*time.Millisecond)
+		So(other.kept.Tokens("w", "", parts), ShouldEqual, 6300)
+		before := e.kept.Backlog("r", "", now)
+		e.announced([]prefixcache.Announcement{a}, now)
+		So(e.kept.Backlog("r", "", now), ShouldEqual, before)
+		a.Server = 77
+		So(func() { other.announced([]prefixcache.Announcement{a}, now) }, ShouldNotPanic)
+	})
 }
--- /dev/null
+++ b/prefixcache/batch.go
@@ -0,0 +1,153 @@
+package prefixcache
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+
+	"linedrum.example/linedrum/engine"
+)
+
+// Announcement is the short form of a notice, for fleets in which notices go by relays and in
+// batches: engines and nodes by a hash of their names, shared parts alone by their keys.
+type Announcement struct {
+	Source uint32        // the node that sent the go
+	Server uint32        // reads
+	Writer uint32        // fetches what was read; 0: nobody
+	Takes  time.Duration // of reading; whole ms are told
+	Own    int           // tokens of the last part, which no other prompt shares
+	Keys   []Key         // of the parts before it
+}
+
+// NameHash stands for an engine's life, or for a node (with an empty life), in announcements;
+// it is never 0.
+func NameHash(name, life string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(life))
+	return max(h.Sum32(), 1)
+}
+
+// AnnouncementOf makes the announcement of a chain's go; the caller fills in who takes part.
+func AnnouncementOf(parts []engine.Part) Announcement {
+	if len(parts) == 0 {
+		return Announcement{}
+	}
+	last := len(parts) - 1
+	keys := chain(parts[:last])
+	return Announcement{Own: parts[last].Tokens, Keys: keys[:min(len(keys), mostKeys)]}
+}
+
+// batchForm is the first byte of a batch; notices begin with noticeForm.
+const batchForm = 2
+
+// mostAnnouncements bounds a batch, so that it stays within a few kilobytes.
+const mostAnnouncements = 64
+
+// Batch is several announcements in one message.
+type Batch struct {
+	// PassOn: the receiver is the relay of its zone, and passes them on there.
+	PassOn        bool
+	Announcements []Announcement
+}
+
+// Encode is the bytes of a batch, about 40 an announcement. Those beyond 64 are left out: they
+// are news that is worth a guess, no more.
+func (b Batch) Encode() []byte {
+	list := b.Announcements[:min(len(b.Announcements), mostAnnouncements)]
+	out := make([]byte, 0, 4+48*len(list))
+	passOn := byte(0)
+	if b.PassOn {
+		passOn = 1
+	}
+	out = append(out, batchForm, passOn, byte(len(list)))
+	for _, a := range list {
+		out = binary.BigEndian.AppendUint32(out, a.Source)
+		out = binary.BigEndian.AppendUint32(out, a.Server)
+		out = binary.BigEndian.AppendUint32(out, a.Writer)
+		out = binary.AppendUvarint(out, uint64(min(max(a.Takes, 0), longest)/time.Millisecond))
+		out = binary.AppendUvarint(out, uint64(max(a.Own, 0)))
+		keys := a.Keys[:min(len(a.Keys), mostKeys)]
+		out = append(out, byte(len(keys)))
+		for _, k := range keys {
+			out = binary.BigEndian.AppendUint64(out, k.Hash)
+			out = binary.AppendUvarint(out, uint64(max(k.Tokens, 0)))
+		}
+	}
+	return out
+}
+
+// DecodeBatch reads them; anything else is ErrNotice.
+func DecodeBatch(b []byte) (Batch, error) {
+	if len(b) < 3 || b[0] != batchForm || b[1] > 1 || b[2] > mostAnnouncements {
+		return Batch{}, ErrNotice
+	}
+	out := Batch{PassOn: b[1] == 1}
+	r := reader{rest: b[3:]}
+	for range b[2] {
+		a := Announcement{Source: uint32(r.fixed(4)), Server: uint32(r.fixed(4)), Writer: uint32(r.fixed(4))}
+		a.Takes = time.Duration(r.varint(uint64(longest/time.Millisecond))) * time.Millisecond
+		a.Own = int(r.varint(mostTokens))
+		for range r.count(mostKeys) {
+			a.Keys = append(a.Keys, Key{r.fixed(8), int(r.varint(mostTokens))})
+		}
+		out.Announcements = append(out.Announcements, a)
+	}
+	if r.failed || len(r.rest) > 0 {
+		return Batch{}, ErrNotice
+	}
+	return out, nil
+}
+
+// mostTokens of one part that is believed.
+const mostTokens = 1 << 30
+
+// reader takes numbers off bytes; once failed it gives zeros.
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (r *reader) fixed(size int) (v uint64) {
+	if r.failed || len(r.rest) < size {
+		r.failed = true
+		return 0
+	}
+	for _, b := range r.rest[:size] {
+		v = v<<8 | uint64(b)
+	}
+	r.rest = r.rest[size:]
+	return v
+}
+
+func (r *reader) varint(most uint64) uint64 {
+	v, size := binary.Uvarint(r.rest)
+	if r.failed || size <= 0 || v > most {
+		r.failed = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return v
+}
+
+func (r *reader) count(most uint64) uint64 {
+	if v := r.fixed(1); v <= most {
+		return v
+	}
+	r.failed = true
+	return 0
+}
+
+// Announced believes an announcement of engines that the caller found by their hashes: server
+// reads, and writer fetches what was read; a writer without a name is nobody. The part that no
+// other prompt shares counts against their memory alone.
+func (b *Book) Announced(a Announcement, server, life, writer, writerLife string, memory int, now time.Duration) {
+	b.nextOwn++
+	keys := append(append(make([]Key, 0, len(a.Keys)+1), a.Keys...), Key{Hash: b.nextOwn, Tokens: a.Own})
+	b.note(server, life, keys, memory)
+	b.Reads(server, life, a.Takes, now)
+	if writer != "" {
+		b.note(writer, writerLife, keys, memory)
+	}
+}
--- a/prefixcache/kept.go
+++ b/prefixcache/kept.go
@@ -18,6 +18,7 @@
 // Book is not safe for concurrent use: its owner guards it.
 type Book struct {
 	engines map[string]*shelf
+	nextOwn uint64 // names parts of other nodes that no other prompt shares
 }
 
 // shelf is one engine's life. A part is named by all parts up to it, since an
