A nomination works out once what a writer comes to, and the names of a chain's parts

Cause: a nomination weighs every reader with every writer, and worked out the writer's load, rest and leaning (a hash of two names) for each pair; what an engine keeps was looked up by hashing the prompt's parts anew for each engine. On a node with a fifth of a core everything else waits meanwhile.

Change: pairing's candidates, prefixcache's Keys and TokensOf. No decision changes: the tests of pairing, TestDay among them, stand as they were.

--- a/node/engines.go
+++ b/node/engines.go
@@ -156,9 +156,9 @@
 	if len(parts) == 0 {
 		return t.latest.servers
 	}
-	out := slices.Clone(t.latest.servers)
+	out, keys := slices.Clone(t.latest.servers), prefixcache.Keys(parts)
 	for i := range out {
-		out[i].Kept = t.kept.Tokens(out[i].Name, out[i].Life, parts)
+		out[i].Kept = t.kept.TokensOf(out[i].Name, out[i].Life, keys)
 	}
 	return out
 }
--- a/pairing/cost.go
+++ b/pairing/cost.go
@@ -215,7 +215,8 @@
 	return haltMS * max(over, 0)
 }
 
-// handOver is what it comes to that a writer fetches memory from a reader.
+// handOver is what it comes to that a writer fetches memory from a reader, but for what the
+// writer comes to whoever read.
 func (c *cost) handOver(reader, w Server) (ms, price float64) {
 	slow := c.v.slow(reader.Name, w.Name) * fullMS
 	if !c.sized {
@@ -232,7 +233,30 @@
 	if w.Site != reader.Site {
 		move, gb = 2*move, 3*gb
 	}
-	return secondMS + move + slow, gb + c.across(w) + c.rest(w) + c.lean(w)
+	return secondMS + move + slow, gb
+}
+
+// candidate is a writer with what it comes to whoever reads, worked out once: there are many
+// readers to weigh it with.
+type candidate struct {
+	Server
+	ms, price float64
+}
+
+func (c *cost) candidate(w Server) candidate {
+	waiting := c.waiting(w)
+	if !c.sized {
+		return candidate{w, 0, waiting}
+	}
+	return candidate{w, waiting, c.across(w) + c.rest(w) + c.lean(w)}
+}
+
+func (c *cost) candidates(writers []Server) []candidate {
+	out := make([]candidate, len(writers))
+	for i, w := range writers {
+		out[i] = c.candidate(w)
+	}
+	return out
 }
 
 func (c *cost) across(s Server) float64 {
@@ -331,6 +355,7 @@
 		writers = append(writers, s)
 	}
 	best := math.Inf(1)
+	candidates := c.candidates(writers)
 	for _, reader := range servers {
 		if reader.Pool != v.Pool {
 			continue
@@ -344,7 +369,7 @@
 			continue
 		}
 		ms, price := c.reading(reader)
-		writer, total := c.best(writers, reader, ms, price)
+		writer, total := c.best(candidates, reader, ms, price)
 		if writer < 0 {
 			pair.Readers = append(pair.Readers, Score{reader.Name, c.sum(ms, price), "no writer"})
 			continue
@@ -364,7 +389,7 @@
 			}
 		}
 	}
-	for _, w := range writers {
+	for _, w := range candidates {
 		score := direct[w.Name]
 		if !pair.Direct && pair.Reader.Name != "" {
 			score = c.sum(c.writing(w, pair.Reader))
@@ -391,19 +416,16 @@
 }
 
 // writing is what a writer comes to for memory that lies at a reader.
-func (c *cost) writing(w, reader Server) (ms, price float64) {
-	ms, price = c.handOver(reader, w)
-	if !c.sized {
-		return ms, price + c.waiting(w)
-	}
-	return ms + c.waiting(w), price
+func (c *cost) writing(w candidate, reader Server) (ms, price float64) {
+	ms, price = c.handOver(reader, w.Server)
+	return ms + w.ms, price + w.price
 }
 
 // best is the writer that makes a pair with a reader cheapest, -1 without one.
-func (c *cost) best(writers []Server, reader Server, ms, price float64) (found int, total float64) {
+func (c *cost) best(writers []candidate, reader Server, ms, price float64) (found int, total float64) {
 	found, total = -1, math.Inf(1)
-	for i, w := range writers {
-		wms, wprice := c.writing(w, reader)
+	for i := range writers {
+		wms, wprice := c.writing(writers[i], reader)
 		if sum := c.sum(ms+wms, price+wprice); sum < total {
 			found, total = i, sum
 		}
@@ -420,7 +442,7 @@
 			writers = append(writers, s)
 		}
 	}
-	i, _ := c.best(writers, reader, 0, 0)
+	i, _ := c.best(c.candidates(writers), reader, 0, 0)
 	if i < 0 {
 		return Server{}, false
 	}
--- a/prefixcache/kept.go
+++ b/prefixcache/kept.go
@@ -85,12 +85,20 @@
 
 // Tokens is how many tokens at the chain's beginning an engine keeps in this life.
 func (b *Book) Tokens(server, life string, parts []engine.Part) int {
+	return b.TokensOf(server, life, chain(parts))
+}
+
+// Keys are the names of a chain's parts, for asking TokensOf of many engines.
+func Keys(parts []engine.Part) []Key { return chain(parts) }
+
+// TokensOf is Tokens for a chain whose keys are at hand.
+func (b *Book) TokensOf(server, life string, keys []Key) int {
 	s := b.engines[server]
 	if s == nil || s.life != life {
 		return 0
 	}
 	n := 0
-	for _, key := range chain(parts) {
+	for _, key := range keys {
 		if s.parts[key.Hash] == nil {
 			break
 		}
