The pace of reading is learnt from the quickest reads of the fleet

Cause: costs are those of the first sites' engines, 57 tokens a ms; the yards' read 32, and long prompts take longer by the square.

Change: pairing.Pace, ReadTook from the path to the engines' table, the last read beside each announcement.

--- a/node/engines.go
+++ b/node/engines.go
@@ -44,6 +44,8 @@
 	// The same in the short form, for fleets that tell by relays; hashes finds engines by it.
 	announcements chan prefixcache.Announcement
 	hashes        map[uint32]string
+	paces         map[string]*pairing.Pace // of reading, by pool
+	ownRead       pairing.Read             // this node's last one, not told yet
 	tick          time.Duration            // a snapshot is used for no longer
 	latest        *snapshot                // nil: something that it rests on has changed since
 }
@@ -87,7 +89,7 @@
 func newEngines(site string, recovery time.Duration, listing bool) *engines {
 	return &engines{
 		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6, tick: recovery / 1200,
-		kept: prefixcache.New(), notices: make(chan prefixcache.Notice, noticeDepth), announcements: make(chan prefixcache.Announcement, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
+		kept: prefixcache.New(), notices: make(chan prefixcache.Notice, noticeDepth), paces: map[string]*pairing.Pace{}, announcements: make(chan prefixcache.Announcement, noticeDepth), servers: map[string]*server{}, slow: map[[2]string]linkCost{}, nodes: 1, ordering: map[string]bool{},
 	}
 }
 
@@ -262,7 +264,7 @@
 	if t.picture.Desk != nil {
 		if p, ok := t.picture.Desk.Pool(want.Pool); ok {
 			v.SiteCost, v.WarmRate, v.WarmFor = p.SiteCost, p.WarmRate, p.WarmFor.D()
-			v.Plain, v.Connections = p.Plain, p.Connections
+			v.Plain, v.Connections, v.Pace = p.Plain, p.Connections, t.paces[want.Pool].Factor()
 			v.Engine = pairing.Facts{
 				Slots: p.Engine.Slots, MemoryTokens: p.Engine.MemoryTokens, TokenBytes: p.Engine.TokenBytes, LinkMbps: p.Engine.LinkMbps,
 			}
@@ -393,6 +395,24 @@
 	return t.view(serve.Want{Pool: pool}, now).Free(t.list(nil, now))
 }
 
+// ReadTook implements serve.Engines: other nodes are told with this one's next announcement.
+func (t *engines) ReadTook(pool string, pair pairing.Pair, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ownRead = pairing.ReadOf(pair, took)
+	t.pace(pool).Add(t.ownRead)
+}
+
+// pace of a pool's engines. Called under t.mu.
+func (t *engines) pace(pool string) *pairing.Pace {
+	p := t.paces[pool]
+	if p == nil {
+		p = &pairing.Pace{}
+		t.paces[pool] = p
+	}
+	return p
+}
+
 // End gives a reservation back.
 func (t *engines) End(name string) {
 	t.mu.Lock()
--- a/node/relay.go
+++ b/node/relay.go
@@ -44,6 +44,8 @@
 	a := prefixcache.AnnouncementOf(parts)
 	a.Source = prefixcache.NameHash(t.self, "")
 	a.Takes = pair.Takes
+	a.Expected, a.Took = t.ownRead.Expected, t.ownRead.Took
+	t.ownRead = pairing.Read{}
 	a.Server = prefixcache.NameHash(pair.Reader.Name, pair.Reader.Life)
 	if pair.Direct {
 		a.Server = prefixcache.NameHash(pair.Writer.Name, pair.Writer.Life)
@@ -64,6 +66,7 @@
 		if server == nil || a.Source == self {
 			continue
 		}
+		t.pace(server.listed.Pool).Add(pairing.Read{Expected: a.Expected, Took: a.Took})
 		writer, writerLife := "", ""
 		if w := t.servers[t.hashes[a.Writer]]; w != nil {
 			writer, writerLife = w.listed.Name, w.listed.Life
--- a/pairing/cost.go
+++ b/pairing/cost.go
@@ -99,11 +99,15 @@
 	shared int
 	most   int     // of the tokens, what some engine keeps
 	bytes  float64 // of the prompt's memory
+	pace   float64 // of reading
 	homes  map[string]bool
 }
 
 func (v View) cost(servers []Server) *cost {
-	c := &cost{v: v, tokens: v.tokens(), shared: v.shared(), homes: v.homes(servers)}
+	c := &cost{v: v, tokens: v.tokens(), shared: v.shared(), homes: v.homes(servers), pace: v.Pace}
+	if c.pace <= 0 {
+		c.pace = 1
+	}
 	c.sized = c.tokens > 0
 	for _, s := range servers {
 		if s.Pool == v.Pool {
@@ -165,7 +169,7 @@
 		}
 		return 0, price
 	}
-	ms = c.before(s, s.Load.Running+s.Load.Waiting, readMS) + c.read(s)*readMS + c.pairs(s)
+	ms = c.before(s, s.Load.Running+s.Load.Waiting, readMS) + c.read(s)*readMS*c.pace + c.pairs(s)
 	return ms, c.again(s) + c.across(s) + c.rest(s) + c.lean(s)
 }
 
@@ -174,7 +178,7 @@
 // counts where it says much more.
 func (c *cost) before(s Server, reported int, pace float64) float64 {
 	backlog := float64(s.Backlog) / float64(time.Millisecond)
-	guess := float64(max(s.Inflight, reported+min(s.Since, 0))) * meanRead * pace
+	guess := float64(max(s.Inflight, reported+min(s.Since, 0))) * meanRead * pace * c.pace
 	if c.v.Told {
 		guess *= oldReport
 	}
@@ -186,7 +190,7 @@
 // pairs is what a token's look at all those before it comes to.
 func (c *cost) pairs(s Server) float64 {
 	n := c.read(s)
-	return n * (float64(c.tokens) - n/2) * pairMS
+	return n * (float64(c.tokens) - n/2) * pairMS * c.pace
 }
 
 // waiting is what a writer's load comes to before a first piece.
@@ -200,7 +204,7 @@
 
 // direct is what a writer comes to that reads by itself.
 func (c *cost) direct(s Server) (ms, price float64) {
-	read := c.read(s)*(directMS+pieceMS) + c.pairs(s)
+	read := c.read(s)*(directMS+pieceMS)*c.pace + c.pairs(s)
 	return c.waiting(s) + read, c.again(s) + c.across(s) + c.rest(s) + c.halted(s, read) + c.lean(s)
 }
 
@@ -399,7 +403,7 @@
 	sort.SliceStable(pair.Writers, func(i, j int) bool { return pair.Writers[i].Score < pair.Writers[j].Score })
 	pair.Writers = append(pair.Writers, outWriters...)
 	if c.sized && pair.Writer.Name != "" {
-		pair.Takes = c.takes(pair)
+		pair.Takes, pair.Pace = c.takes(pair), c.pace
 	}
 	return pair, pair.Writer.Name != ""
 }
@@ -408,9 +412,9 @@
 func (c *cost) takes(p Pair) time.Duration {
 	ms := stepMS
 	if p.Direct {
-		ms += c.read(p.Writer)*(directMS+pieceMS) + c.pairs(p.Writer)
+		ms += c.read(p.Writer)*(directMS+pieceMS)*c.pace + c.pairs(p.Writer)
 	} else {
-		ms += c.read(p.Reader)*readMS + c.pairs(p.Reader)
+		ms += c.read(p.Reader)*readMS*c.pace + c.pairs(p.Reader)
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/pairing/pairing.go
+++ b/pairing/pairing.go
@@ -60,6 +60,8 @@
 	WarmFor    time.Duration `json:",omitempty"` // an engine is cold for so long from its start
 	// Plain: the pool's engines have no roles, and one of them takes the request whole.
 	Plain bool `json:",omitempty"`
+	// Pace is what times of reading are multiplied by; 0 stands for 1.
+	Pace float64 `json:",omitempty"`
 	// Connections is the most that all nodes together may have to one engine; 0: no bound.
 	Connections int `json:",omitempty"`
 }
@@ -99,6 +101,7 @@
 	Reader, Writer Server
 	Direct         bool
 	Takes          time.Duration // the read, as estimated; 0 where no size is known
+	Pace           float64       // that it was estimated by
 	Readers        []Score
 	Writers        []Score
 }
--- a/prefixcache/batch.go
+++ b/prefixcache/batch.go
@@ -16,7 +16,10 @@
 	Writer uint32        // fetches what was read; 0: nobody
 	Takes  time.Duration // of reading; whole ms are told
 	Own    int           // tokens of the last part, which no other prompt shares
-	Keys   []Key         // of the parts before it
+	// The source's last read, of the pool of Server: what it was expected to take and what it
+	// took, in whole ms. Expected 0: it is not told.
+	Expected, Took time.Duration
+	Keys           []Key // of the parts before it
 }
 
 // NameHash stands for an engine's life, or for a node (with an empty life), in announcements;
@@ -66,8 +69,10 @@
 		out = binary.BigEndian.AppendUint32(out, a.Source)
 		out = binary.BigEndian.AppendUint32(out, a.Server)
 		out = binary.BigEndian.AppendUint32(out, a.Writer)
-		out = binary.AppendUvarint(out, uint64(min(max(a.Takes, 0), longest)/time.Millisecond))
+		out = binary.AppendUvarint(out, wholeMS(a.Takes))
 		out = binary.AppendUvarint(out, uint64(max(a.Own, 0)))
+		out = binary.AppendUvarint(out, wholeMS(a.Expected))
+		out = binary.AppendUvarint(out, wholeMS(a.Took))
 		keys := a.Keys[:min(len(a.Keys), mostKeys)]
 		out = append(out, byte(len(keys)))
 		for _, k := range keys {
@@ -87,8 +92,9 @@
 	r := reader{rest: b[3:]}
 	for range b[2] {
 		a := Announcement{Source: uint32(r.fixed(4)), Server: uint32(r.fixed(4)), Writer: uint32(r.fixed(4))}
-		a.Takes = time.Duration(r.varint(uint64(longest/time.Millisecond))) * time.Millisecond
+		a.Takes = r.ms()
 		a.Own = int(r.varint(mostTokens))
+		a.Expected, a.Took = r.ms(), r.ms()
 		for range r.count(mostKeys) {
 			a.Keys = append(a.Keys, Key{r.fixed(8), int(r.varint(mostTokens))})
 		}
@@ -131,6 +137,13 @@
 	return v
 }
 
+// wholeMS is a time as it is told.
+func wholeMS(d time.Duration) uint64 { return uint64(min(max(d, 0), longest) / time.Millisecond) }
+
+func (r *reader) ms() time.Duration {
+	return time.Duration(r.varint(uint64(longest/time.Millisecond))) * time.Millisecond
+}
+
 func (r *reader) count(most uint64) uint64 {
 	if v := r.fixed(1); v <= most {
 		return v
--- a/prefixcache/batch_test.go
+++ b/prefixcache/batch_test.go
@@ -12,6 +12,7 @@
 func announcement(server string) Announcement {
 	a := AnnouncementOf([]engine.Part{{ID: "terms", Tokens: 2500}, {ID: "roaster", Tokens: 3800}, {ID: "own", Tokens: 3000}})
 	a.Source, a.Server, a.Writer, a.Takes = NameHash("node", ""), NameHash(server, ""), NameHash("w", ""), 120*time.Millisecond
+	a.Expected, a.Took = 100*time.Millisecond, 230*time.Millisecond
 	return a
 }
 
--- a/serve/fleet.go
+++ b/serve/fleet.go
@@ -80,6 +80,8 @@
 	End(name string)
 	// Kept tells that an engine has a chain of parts in its memory now.
 	Kept(pool, name string, parts []Part)
+	// ReadTook tells how long the read of a pair took, with its wait.
+	ReadTook(pool string, pair pairing.Pair, took time.Duration)
 	// Idle tells that half of a pool's places are free, and that nothing waits there.
 	Idle(pool string, now time.Duration) bool
 	// Usable tells whether a go may still go to an engine, by what is in force now.
--- a/serve/goes.go
+++ b/serve/goes.go
@@ -95,6 +95,7 @@
 		q.failedGo(q.pair.Reader.Name, g)
 		return
 	}
+	q.engines.ReadTook(q.pool, q.pair, g.Ended-g.Began)
 	q.engines.Kept(q.pool, q.pair.Reader.Name, q.ask.Parts)
 	q.memory, q.handed = &memory, false
 	q.reading = false
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -105,6 +105,7 @@
 func (w *world) End(string)                                               { w.taken-- }
 func (w *world) Manner() Manner                                           { return Manner{TakenOnce: true, MayDirect: w.direct} }
 func (w *world) Kept(string, string, []Part)                              {}
+func (w *world) ReadTook(string, pairing.Pair, time.Duration)             {}
 func (w *world) Idle(string, time.Duration) bool                          { return false }
 func (w *world) Usable(string, string, string) bool                       { return true }
 func (w *world) NoteLink(string, string, float64, time.Duration)          {}
