Operators see plain engines: status, plan and explain

Cause: status showed plain engines as silent and without a role, plan warned that they cannot both read and write, and explain said that nobody reads. Change: status gives them the role whole and what is there; plan warns where a site's loss leaves none; explain says who takes a request whole, and names a writer that reads. Tests in node and plan.

--- a/cmd/linedrum/tools.go
+++ b/cmd/linedrum/tools.go
@@ -94,7 +94,7 @@
 	}
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	for i, p := range r.Pairs {
-		fmt.Fprintf(table, "\npairing %d: %s reads, %s writes\n", i+1, p.Reader, p.Writer)
+		fmt.Fprintf(table, "\npairing %d: %s\n", i+1, paired(p))
 		for _, side := range []struct {
 			role string
 			list []pairing.Score
@@ -116,6 +116,17 @@
 	fmt.Fprintf(out, "replied %d %s %s after %s\n", r.Status, r.Verdict, r.Code, since(r.Ended))
 }
 
+// paired says who does what of a nomination.
+func paired(p explain.Nomination) string {
+	switch {
+	case p.View.Plain:
+		return p.Writer + " takes the request whole"
+	case p.Direct:
+		return p.Writer + " reads and writes"
+	}
+	return p.Reader + " reads, " + p.Writer + " writes"
+}
+
 type replayCommand struct {
 	target
 	fetch bool
--- a/node/plain.go
+++ b/node/plain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/pairing"
@@ -20,6 +21,15 @@
 	return p, had && p.Plain
 }
 
+// statusOf shows a plain engine to operators: silent is one that rests after a failed go, since
+// it is asked for nothing else.
+func statusOf(s pairing.Server) control.EngineStatus {
+	return control.EngineStatus{
+		Listed: s.Listed, Role: engine.Whole, Reports: engine.Whole, Running: s.Load.Running + s.Inflight, Slots: s.Load.Slots,
+		AgeMS: s.Age.Milliseconds(), Silent: s.Resting,
+	}
+}
+
 // observePlain is the pairing's picture of one plain engine. Called under t.mu.
 func (t *engines) observePlain(e engine.Listed, s *server, pool desk.Pool, now time.Duration) pairing.Server {
 	one := pairing.Server{
--- a/node/plain_test.go
+++ b/node/plain_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"linedrum.example/linedrum/control"
 	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/serve"
@@ -72,4 +73,15 @@
 		e.End("x")
 		So(reserve(e, now), ShouldEqual, "x")
 	})
+	Convey("Operators see it with what is there, and as silent while it rests", t, func() {
+		e := plainTable(0)
+		reserve(e, now)
+		e.RestFor("y", now)
+		byName := map[string]control.EngineStatus{}
+		for _, one := range e.status(now) {
+			byName[one.Name] = one
+		}
+		So([]any{byName["x"].Role, byName["x"].Running, byName["x"].Slots, byName["x"].Silent}, ShouldResemble, []any{engine.Whole, 1, 2, false})
+		So(byName["y"].Silent, ShouldBeTrue)
+	})
 }
--- a/node/status.go
+++ b/node/status.go
@@ -83,6 +83,10 @@
 		if s == nil {
 			continue
 		}
+		if pool, plain := t.plainPool(e.Pool); plain {
+			out = append(out, statusOf(t.observePlain(e, s, pool, now)))
+			continue
+		}
 		out = append(out, control.EngineStatus{
 			Listed: e, Role: t.picture.Roles[e.Pool].Table.Roles[e.Name], Reports: t.plays(s, now),
 			Running: s.load.Running, Slots: s.load.Slots, AgeMS: s.load.AgeMS + (now - s.at).Milliseconds(), Silent: s.at == 0 || now-s.at >= t.stale,
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -279,7 +279,7 @@
 		r.warn("pool %s has no engine that reports: its desks will bounce", p.Name)
 		return
 	}
-	if all.Engines < p.MinPrefill+p.MinDecode {
+	if !p.Plain && all.Engines < p.MinPrefill+p.MinDecode {
 		r.warn("pool %s has %d engines for minima of %d and %d", p.Name, all.Engines, p.MinPrefill, p.MinDecode)
 	}
 	for _, site := range sorted(sites) {
@@ -292,7 +292,10 @@
 		}
 		left.Share = 100 * left.Slots / max(all.Slots, 1)
 		r.Capacity = append(r.Capacity, left)
-		if left.Engines < 2 {
+		if p.Plain && left.Engines == 0 {
+			r.warn("pool %s without site %s has no engine: its desks will bounce", p.Name, site)
+		}
+		if !p.Plain && left.Engines < 2 {
 			r.warn("pool %s without site %s has %d engines: it cannot both read and write", p.Name, site, left.Engines)
 		}
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -33,4 +33,12 @@
 		So(r.Changes, ShouldBeEmpty)
 		So(r.Capacity, ShouldContain, Capacity{Pool: "p", Engines: 2, Slots: 16, Share: 100})
 	})
+	Convey("a plain pool bears the loss of a site while one engine is left, and needs no two roles", t, func() {
+		file, faults := desk.Parse([]byte(strings.NewReplacer(`{"name":"p"}`, `{"name":"p","plain":true}`).Replace(text)))
+		So(faults, ShouldBeEmpty)
+		two := []Engine{{Name: "a", Pool: "p", Site: "n", Slots: 6}, {Name: "b", Pool: "p", Site: "s", Slots: 6}}
+		So(strings.Join(Compare(file, file, two, nil).Warnings, "\n"), ShouldNotContainSubstring, "pool p")
+		So(strings.Join(Compare(file, file, two[:1], nil).Warnings, "\n"), ShouldContainSubstring, "pool p without site n has no engine")
+		So(strings.Join(Compare(old, old, two, nil).Warnings, "\n"), ShouldContainSubstring, "cannot both read and write")
+	})
 }
