--- a/bench/hunt/draw.go
+++ b/bench/hunt/draw.go
@@ -131,18 +131,7 @@
 }
 
 // plainTroubles are what happens to the engines of a service without stages.
-var plainTroubles = []kind{
-	{"release", repeated(3, 1500*time.Millisecond)},
-	{"leave", lastEngines(atOnce)},
-	{"crash", striking(lasting(2*time.Second, 6*time.Second))},
-	{"dark", striking(lasting(2*time.Second, 6*time.Second))},
-	{"reuse", lastEngines(how([]string{"", "drain", "dark"}, atOnce))},
-	{"grey", striking(share(0.1, 0.8, how(greyWays(), lasting(2*time.Second, 7*time.Second))))},
-	{"garble", share(0.02, 0.3, how([]string{"", "extra"}, lasting(2*time.Second, 6*time.Second)))},
-	{"lost", share(0.02, 0.3, lasting(2*time.Second, 6*time.Second))},
-	{"full", striking(lasting(time.Second, 4*time.Second))},
-	{"cut_engines", striking(lasting(time.Second, 6*time.Second))},
-}
+var plainTroubles = append(slices.Clone(engineTroubles), kind{"cut_engines", striking(lasting(time.Second, 6*time.Second))})
 
 // classes are the usual ones, beside requests that change something, requests that only
 // read, and streams that outlast a planned stop.
@@ -292,8 +281,8 @@
 	{"read", atOnce},
 }
 
-// pool is what happens to engines and clients.
-var pool = []kind{
+// engineTroubles are what happens to engines of any service.
+var engineTroubles = []kind{
 	{"release", repeated(4, 1500*time.Millisecond)},
 	{"leave", lastEngines(atOnce)},
 	{"crash", striking(lasting(2*time.Second, 6*time.Second))},
@@ -303,13 +292,17 @@
 	{"garble", share(0.02, 0.3, how([]string{"", "extra"}, lasting(2*time.Second, 6*time.Second)))},
 	{"lost", share(0.02, 0.3, lasting(2*time.Second, 6*time.Second))},
 	{"full", striking(lasting(time.Second, 4*time.Second))},
+}
+
+// pool is what happens to model engines and clients.
+var pool = append(slices.Clone(engineTroubles), []kind{
 	{"kv_slow", share(4, 20, lasting(2*time.Second, 6*time.Second))},
 	{"handles_lapse", lasting(2*time.Second, 5*time.Second)},
 	{"cold", striking(atOnce)},
 	{"cut_engines", striking(lasting(time.Second, 6*time.Second))},
 	{"burst", share(1.3, 2.5, lasting(3*time.Second, 8*time.Second))},
 	{"rough", repeated(3, time.Second)},
-}
+}...)
 
 func greyWays() (out []string) {
 	for _, way := range platform.GreyWays {
--- a/node/engines.go
+++ b/node/engines.go
@@ -1,19 +1,15 @@
 package node
 
 import (
-	"context"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"linedrum.example/linedrum/engine"
-	"linedrum.example/linedrum/event"
 	"linedrum.example/linedrum/explain"
-	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/prefixcache"
-	"linedrum.example/linedrum/roles"
 	"linedrum.example/linedrum/serve"
 	"linedrum.example/linedrum/warmth"
 )
@@ -75,17 +71,6 @@
 	busy     float64         // of a plain engine: requests there, smoothed over what its answers told
 }
 
-// told tells whether the list says all of an engine that service needs.
-func (t *engines) toldOf(e engine.Listed) bool { return t.listing && e.Role != "" }
-
-// plays is the role that an engine plays, by its newest word.
-func (t *engines) plays(s *server, now time.Duration) string {
-	if t.toldOf(s.listed) && (s.load.Role == "" || now-s.at >= t.stale) {
-		return s.listed.Role
-	}
-	return s.load.Role
-}
-
 func newEngines(site string, recovery time.Duration, listing bool) *engines {
 	return &engines{
 		listing: listing, duties: map[string]bool{}, site: site, stale: recovery / 6, rest: recovery / 12, ramp: recovery * 5 / 6, tick: recovery / 1200,
@@ -458,112 +443,6 @@
 	t.slow[key] = linkCost{before + (cost-before)/2, now}
 }
 
-// states is the role planner's picture.
-func (t *engines) states(pool string, now time.Duration) []roles.State {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []roles.State
-	for _, e := range t.picture.Engines.Engines {
-		s := t.servers[e.Name]
-		if s == nil || e.Pool != pool {
-			continue
-		}
-		out = append(out, roles.State{
-			Name: e.Name, Site: e.Site,
-			Usable: !e.Leaving() && !t.gone[e.Name] && !t.picture.Sites.Empty[e.Site] && (t.toldOf(e) && !s.silent || s.at > 0 && now-s.at < 2*t.stale),
-			Use:    roles.Use(t.picture.Roles[pool].Table.Roles[e.Name], s.load, max(s.load.Slots, e.Slots)),
-		})
-		if t.toldOf(e) {
-			out[len(out)-1].Plays = t.plays(s, now)
-		}
-	}
-	return out
-}
-
-// due tells whether an engine needs an order. Where the list says what it plays, an
-// order that changes nothing is not worth its price, and one that was taken gets its
-// time; else an older fence is made stale as well.
-func (t *engines) due(s *server, role string, fence engine.Fence, now time.Duration) bool {
-	if t.toldOf(s.listed) {
-		return t.plays(s, now) != role && (s.ordered != fence || now-s.obeyed >= t.ramp)
-	}
-	return s.at > 0 && !(s.load.Role == role && (!s.load.Fence.Less(fence) || s.ordered == fence))
-}
-
-// order sends roles to the engines that do not report them under this fence. An order is
-// dropped that could not be written in time, or when may says no.
-func (t *engines) order(n *Node, pool string, table map[string]string, fence engine.Fence, may func() bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name, role := range table {
-		s := t.servers[name]
-		if s == nil || t.ordering[name] || !t.due(s, role, fence, n.clock.Now()) {
-			continue
-		}
-		t.ordering[name] = true
-		listed := s.listed
-		n.crew.Start(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, n.orderTime())
-			defer cancel()
-			err := n.speech.Order(ctx, listed, engine.Order{Pool: pool, Role: role, Fence: fence, May: may})
-			t.mu.Lock()
-			delete(t.ordering, name)
-			if err == nil {
-				s.ordered, s.obeyed = fence, n.clock.Now()
-			}
-			t.mu.Unlock()
-			fields := event.Fields{"engine": name, "role": role, "term": fence.Count, "serial": fence.Serial}
-			if err != nil {
-				fields["reason"] = err.Error()
-				n.log.Say(event.RoleBounced, fields)
-				return
-			}
-			n.log.Say(event.RoleOrdered, fields)
-		})
-	}
-}
-
-// pollEngines asks every listed engine for its load.
-func (n *Node) pollEngines(ctx context.Context) {
-	pool := n.crew.Pool(16, 1024)
-	lifecycle.Every(ctx, n.settings.Bounds.Recovery.D()/24, func() {
-		n.engines.place(n.fleetView())
-		for _, target := range n.engines.toPoll() {
-			if !pool.Submit(func(ctx context.Context) { n.poll(ctx, target) }) {
-				n.engines.polled(target.Name, engine.Load{}, false, 0)
-			}
-		}
-		n.gate.Pump()
-	})
-}
-
-func (t *engines) toPoll() []engine.Listed {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.turn++
-	var out []engine.Listed
-	for _, s := range t.servers {
-		if _, plain := t.plainPool(s.listed.Pool); plain {
-			continue // it gives no report: its answers tell
-		}
-		if t.toldOf(s.listed) && (t.turn%2 != 0 || !t.duties[s.listed.Pool]) {
-			continue // each report has its price: whoever plans the roles asks, half as often
-		}
-		if !s.polling {
-			s.polling = true
-			out = append(out, s.listed)
-		}
-	}
-	return out
-}
-
-// duty notes whether a pool's roles are this node's to plan.
-func (t *engines) duty(pool string, held bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.duties[pool] = held
-}
-
 // Heard takes what an engine said of its load beside a reply.
 func (t *engines) Heard(name string, load engine.Load, now time.Duration) {
 	t.mu.Lock()
@@ -590,37 +469,6 @@
 	s.at = now
 }
 
-func (t *engines) polled(name string, load engine.Load, ok bool, now time.Duration) (turned bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.latest = nil
-	s := t.servers[name]
-	if s == nil {
-		return false
-	}
-	s.polling = false
-	if ok {
-		s.load, s.at, s.since = load, now, 0
-	}
-	turned = s.silent == ok
-	s.silent = !ok
-	return turned
-}
-
-func (n *Node) poll(ctx context.Context, target engine.Listed) {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Bounds.Recovery.D()/12)
-	defer cancel()
-	load, err := n.speech.Load(ctx, target)
-	if n.engines.polled(target.Name, load, err == nil, n.clock.Now()) {
-		if err != nil {
-			n.log.Say(event.EngineSilent, event.Fields{"engine": target.Name, "reason": err.Error()})
-		} else {
-			n.log.Say(event.EngineBack, event.Fields{"engine": target.Name, "role": load.Role})
-		}
-	}
-	n.gate.Pump()
-}
-
 // Full takes an engine's word that it is busy, until its next report.
 func (t *engines) Full(name string) {
 	t.mu.Lock()
