--- a/bench/platform/engine.go
+++ b/bench/platform/engine.go
@@ -530,8 +530,21 @@
 	}
 }
 
+// brokeOff tells that the engine has ended, and notes that it broke a request off. Its own end
+// of the connection may hear of that first, and take the client for gone.
+func (e *Engine) brokeOff(rec *Arrival) bool {
+	_, over := e.now()
+	if over {
+		e.site.Evidence.add(func() { rec.Broken, rec.Ended = true, time.Now() })
+	}
+	return over
+}
+
 // late ends what reached its deadline, or whose client has gone.
 func (e *Engine) late(l *line, req *http.Request, j *job) bool {
+	if e.brokeOff(j.rec) {
+		return false
+	}
 	if l.lost.Load() || time.Now().Before(j.by) {
 		return false
 	}
@@ -634,7 +647,9 @@
 		select {
 		case <-ctx.Done():
 			if begun {
-				ev.add(func() { rec.Broken, rec.Ended = !l.lost.Load(), time.Now() })
+				if !e.brokeOff(rec) {
+					ev.add(func() { rec.Broken, rec.Ended = !l.lost.Load(), time.Now() })
+				}
 				return false
 			}
 			return e.late(l, req, j)
@@ -659,6 +674,7 @@
 				text := fmt.Sprintf("id: %d\ndata: %s %s %d %d %d\n\n", s.to, rec.Attempt, rec.Run, s.from+1, j.out, time.Now().UnixNano())
 				fmt.Fprintf(out2, "%x\r\n%s\r\n", len(text), text)
 				if out2.Flush() != nil {
+					e.brokeOff(rec)
 					return false
 				}
 				ev.add(func() { rec.Pieces = s.to })
--- a/bench/platform/engine_test.go
+++ b/bench/platform/engine_test.go
@@ -257,3 +257,38 @@
 		So(states, ShouldResemble, []string{"0", "at once 1", "1", "0", "over", "0", "0", "later 7"})
 	})
 }
+
+// TestEndedEngine has engines end while they work: what they broke off is theirs, whichever of
+// its two ends hears of it first.
+func TestEndedEngine(t *testing.T) {
+	broken, count := 0, 0
+	for range 20 {
+		onScene(t, func(s *Spec) { s.Plain = []PlainService{{Name: "relay", Slots: 4, MaxConns: 9, Work: 4000}} }, func(s *scene) {
+			writer, relay := s.raise(StageGenerate, false), s.enginesOf("relay")[0]
+			group := lifecycle.New(context.Background())
+			group.Start(func(context.Context) {
+				s.says(writer, http.MethodPost, "/x", "b", prompt("00000000000000a1", "0a:100", 500)...)
+			})
+			group.Start(func(context.Context) {
+				s.says(writer, http.MethodPost, "/x", "b", prompt("00000000000000a2", "0b:100000", 500)...)
+			})
+			group.Start(func(context.Context) {
+				s.says(relay, http.MethodPost, "/x", "b", HeaderAttempt, "00000000000000a3", HeaderLeft, "9000")
+			})
+			lifecycle.Pause(context.Background(), 300*time.Millisecond)
+			writer.stop()
+			relay.stop()
+			group.Wait()
+			for _, a := range s.Evidence.Arrivals {
+				count++
+				if a.Broken {
+					broken++
+				}
+			}
+		})
+	}
+	Convey("an engine that ends has broken off what it worked on", t, func() {
+		So(count, ShouldEqual, 60)
+		So(broken, ShouldEqual, count)
+	})
+}
