--- a/prefixcache/batch.go
+++ b/prefixcache/batch.go
@@ -73,12 +73,7 @@
 		out = binary.AppendUvarint(out, uint64(max(a.Own, 0)))
 		out = binary.AppendUvarint(out, wholeMS(a.Expected))
 		out = binary.AppendUvarint(out, wholeMS(a.Took))
-		keys := a.Keys[:min(len(a.Keys), mostKeys)]
-		out = append(out, byte(len(keys)))
-		for _, k := range keys {
-			out = binary.BigEndian.AppendUint64(out, k.Hash)
-			out = binary.AppendUvarint(out, uint64(max(k.Tokens, 0)))
-		}
+		out = appendKeys(out, a.Keys)
 	}
 	return out
 }
@@ -95,9 +90,7 @@
 		a.Takes = r.ms()
 		a.Own = int(r.varint(mostTokens))
 		a.Expected, a.Took = r.ms(), r.ms()
-		for range r.count(mostKeys) {
-			a.Keys = append(a.Keys, Key{r.fixed(8), int(r.varint(mostTokens))})
-		}
+		a.Keys = r.keys()
 		out.Announcements = append(out.Announcements, a)
 	}
 	if r.failed || len(r.rest) > 0 {
@@ -106,52 +99,6 @@
 	return out, nil
 }
 
-// mostTokens of one part that is believed.
-const mostTokens = 1 << 30
-
-// reader takes numbers off bytes; once failed it gives zeros.
-type reader struct {
-	rest   []byte
-	failed bool
-}
-
-func (r *reader) fixed(size int) (v uint64) {
-	if r.failed || len(r.rest) < size {
-		r.failed = true
-		return 0
-	}
-	for _, b := range r.rest[:size] {
-		v = v<<8 | uint64(b)
-	}
-	r.rest = r.rest[size:]
-	return v
-}
-
-func (r *reader) varint(most uint64) uint64 {
-	v, size := binary.Uvarint(r.rest)
-	if r.failed || size <= 0 || v > most {
-		r.failed = true
-		return 0
-	}
-	r.rest = r.rest[size:]
-	return v
-}
-
-// wholeMS is a time as it is told.
-func wholeMS(d time.Duration) uint64 { return uint64(min(max(d, 0), longest) / time.Millisecond) }
-
-func (r *reader) ms() time.Duration {
-	return time.Duration(r.varint(uint64(longest/time.Millisecond))) * time.Millisecond
-}
-
-func (r *reader) count(most uint64) uint64 {
-	if v := r.fixed(1); v <= most {
-		return v
-	}
-	r.failed = true
-	return 0
-}
-
 // Announced believes an announcement of engines that the caller found by their hashes: server
 // reads, and writer fetches what was read; a writer without a name is nobody. The part that no
 // other prompt shares counts against their memory alone.
--- a/prefixcache/notice.go
+++ b/prefixcache/notice.go
@@ -45,14 +45,8 @@
 		b = binary.AppendUvarint(b, uint64(len(text)))
 		b = append(b, text...)
 	}
-	b = binary.AppendUvarint(b, uint64(min(max(n.Takes, 0), longest)/time.Millisecond))
-	keys := n.Keys[:min(len(n.Keys), mostKeys)]
-	b = binary.AppendUvarint(b, uint64(len(keys)))
-	for _, k := range keys {
-		b = binary.BigEndian.AppendUint64(b, k.Hash)
-		b = binary.AppendUvarint(b, uint64(max(k.Tokens, 0)))
-	}
-	return b
+	b = binary.AppendUvarint(b, wholeMS(n.Takes))
+	return appendKeys(b, n.Keys)
 }
 
 // DecodeNotice reads them; anything else is ErrNotice.
@@ -60,35 +54,13 @@
 	if len(b) == 0 || b[0] != noticeForm {
 		return n, ErrNotice
 	}
-	b = b[1:]
-	ok := true
-	number := func(most uint64) uint64 {
-		v, size := binary.Uvarint(b)
-		if size <= 0 || v > most {
-			ok, b = false, nil
-			return 0
-		}
-		b = b[size:]
-		return v
-	}
-	take := func(size int) []byte {
-		if size > len(b) {
-			ok, b = false, nil
-			return make([]byte, size)
-		}
-		out := b[:size]
-		b = b[size:]
-		return out
-	}
+	r := reader{rest: b[1:]}
 	for _, text := range []*string{&n.Server, &n.Life, &n.Writer, &n.WriterLife} {
-		*text = string(take(int(number(mostText))))
-	}
-	n.Takes = time.Duration(number(uint64(longest/time.Millisecond))) * time.Millisecond
-	for range number(mostKeys) {
-		hash := binary.BigEndian.Uint64(take(8))
-		n.Keys = append(n.Keys, Key{hash, int(number(1 << 30))})
+		*text = r.text()
 	}
-	if !ok || len(b) > 0 || n.Server == "" {
+	n.Takes = r.ms()
+	n.Keys = r.keys()
+	if r.failed || len(r.rest) > 0 || n.Server == "" {
 		return Notice{}, ErrNotice
 	}
 	return n, nil
