--- a/node/reads.go
+++ b/node/reads.go
@@ -91,21 +91,29 @@
 		case <-ctx.Done():
 			return
 		case notice := <-n.engines.notices:
-			m := register.Message{Kind: register.KindReads, From: n.settings.Listen, Cell: register.Entry{Value: notice.Encode()}}
-			for _, addr := range n.others() {
-				n.link.Frame(addr, m, wire.Cohort{})
-			}
+			n.sendReads(notice.Encode(), n.others(anySite))
 		}
 	}
 }
 
-// others are the addresses of the live cohort but this node's.
-func (n *Node) others() []string {
+// sendReads sends what is told of reads, in either form.
+func (n *Node) sendReads(payload []byte, to []string) {
+	m := register.Message{Kind: register.KindReads, From: n.settings.Listen, Cell: register.Entry{Value: payload}}
+	for _, addr := range to {
+		n.link.Frame(addr, m, wire.Cohort{})
+	}
+}
+
+// anySite stands for all sites where one may be named.
+const anySite = ""
+
+// others are the addresses of the live cohort in a site, or anySite, but this node's.
+func (n *Node) others(site string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []string
 	for _, e := range n.core.Member.Alive() {
-		if e.Addr != n.settings.Listen {
+		if e.Addr != n.settings.Listen && (site == anySite || e.Site == site) {
 			out = append(out, e.Addr)
 		}
 	}
--- a/node/relay.go
+++ b/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,8 +10,6 @@
 	"linedrum.example/linedrum/lifecycle"
 	"linedrum.example/linedrum/pairing"
 	"linedrum.example/linedrum/prefixcache"
-	"linedrum.example/linedrum/register"
-	"linedrum.example/linedrum/wire"
 )
 
 // In fleets of more than tellAll nodes, what is read is told by way of one relay in each zone:
@@ -83,25 +82,19 @@
 		case <-ctx.Done():
 			return
 		case a := <-n.engines.announcements:
-			n.announce([]prefixcache.Announcement{a})
+			n.announce(a)
 		}
 	}
 }
 
-func (n *Node) announce(list []prefixcache.Announcement) {
-	payload := prefixcache.Batch{PassOn: true, Announcements: list}.Encode()
-	for _, addr := range n.relays() {
-		if addr == n.settings.Listen {
-			n.relay.add(list)
-			continue
-		}
-		n.sendReads(addr, payload)
+func (n *Node) announce(a prefixcache.Announcement) {
+	list := []prefixcache.Announcement{a}
+	to := n.relays()
+	if own := slices.Index(to, n.settings.Listen); own >= 0 {
+		n.relay.add(list)
+		to = slices.Delete(to, own, own+1)
 	}
-}
-
-func (n *Node) sendReads(addr string, payload []byte) {
-	m := register.Message{Kind: register.KindReads, From: n.settings.Listen, Cell: register.Entry{Value: payload}}
-	n.link.Frame(addr, m, wire.Cohort{})
+	n.sendReads(prefixcache.Batch{PassOn: true, Announcements: list}.Encode(), to)
 }
 
 // relays are the nodes that pass this node's announcements on, one in each zone: of those with
@@ -138,10 +131,7 @@
 		if len(list) == 0 {
 			return
 		}
-		payload := prefixcache.Batch{Announcements: list}.Encode()
-		for _, addr := range n.zoneMembers() {
-			n.sendReads(addr, payload)
-		}
+		n.sendReads(prefixcache.Batch{Announcements: list}.Encode(), n.others(n.settings.Site))
 	})
 }
 
@@ -149,18 +139,6 @@
 // 15 s. What is read there meanwhile is a few prompts of the whole fleet.
 const batchesPerRecovery = 600
 
-// zoneMembers are the other live nodes of this node's zone.
-func (n *Node) zoneMembers() (out []string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, e := range n.core.Member.Alive() {
-		if e.Site == n.settings.Site && e.Addr != n.settings.Listen {
-			out = append(out, e.Addr)
-		}
-	}
-	return out
-}
-
 // heardReads takes what another node tells of reads, in either form.
 func (n *Node) heardReads(payload []byte) {
 	batch, err := prefixcache.DecodeBatch(payload)
