--- a/node/engines.go
+++ b/node/engines.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"linedrum.example/linedrum/desk"
 	"linedrum.example/linedrum/engine"
 	"linedrum.example/linedrum/explain"
 	"linedrum.example/linedrum/pairing"
@@ -40,6 +41,7 @@
 	// The same in the short form, for fleets that tell by relays; hashes finds engines by it.
 	announcements chan prefixcache.Announcement
 	hashes        map[uint32]string
+	plain         map[string]desk.Pool     // pools whose engines have no roles, by name
 	paces         map[string]*pairing.Pace // of reading, by pool
 	ownRead       pairing.Read             // this node's last one, not told yet
 	tick          time.Duration            // a snapshot is used for no longer
@@ -102,6 +104,14 @@
 		}
 		s.listed = e
 	}
+	t.plain = map[string]desk.Pool{}
+	if p.Desk != nil {
+		for _, pool := range p.Desk.Pools {
+			if pool.Plain {
+				t.plain[pool.Name] = pool
+			}
+		}
+	}
 	t.hashes = make(map[uint32]string, len(t.servers))
 	for name, s := range t.servers {
 		t.hashes[prefixcache.NameHash(name, s.listed.Life)] = name
--- a/node/plain.go
+++ b/node/plain.go
@@ -12,13 +12,10 @@
 // Engines of plain pools give no reports: what a node knows of their load is what their
 // answers tell, and what it has there itself (design.md section 5.11).
 
-// plainPool looks a pool up, and tells whether its engines are plain. Called under t.mu.
+// plainPool looks a pool up among those whose engines are plain. Called under t.mu.
 func (t *engines) plainPool(name string) (desk.Pool, bool) {
-	if t.picture.Desk == nil {
-		return desk.Pool{}, false
-	}
-	p, had := t.picture.Desk.Pool(name)
-	return p, had && p.Plain
+	p, plain := t.plain[name]
+	return p, plain
 }
 
 // statusOf shows a plain engine to operators: silent is one that rests after a failed go, since
