--- a/pairing/cost.go
+++ b/pairing/cost.go
@@ -278,8 +278,13 @@
 	if c.v.Self == "" || c.v.Nodes < 2 {
 		return 0
 	}
-	part := float64(hash(c.v.Self+"\x00"+s.Name)>>11) / (1 << 53)
-	return part * float64(c.v.Nodes) / leanNodes * runningMS
+	return c.v.preference(s) * float64(c.v.Nodes) / leanNodes * runningMS
+}
+
+// preference is this node's own of an engine among those that are alike, from 0 to 1: the
+// lowest is preferred.
+func (v View) preference(s Server) float64 {
+	return float64(hash(v.Self+"\x00"+s.Name)>>11) / (1 << 53)
 }
 
 func (c *cost) rest(s Server) float64 {
--- a/pairing/plain.go
+++ b/pairing/plain.go
@@ -47,9 +47,8 @@
 	return max(v.Connections/max(v.Nodes, 1), 1)
 }
 
-// idlePart is the part of an engine's connections that unused ones may take, as a divisor
-// of what is left for those in use.
-const idlePart = 4
+// busyPart is the part of an engine's connections that is left to those in use, as a divisor.
+const busyPart = 4
 
 // IdleConnections is how many unused connections this node may keep to an engine; 0: no
 // bound. The fleet's sum leaves a quarter of the limit to connections in use; with fewer
@@ -58,7 +57,7 @@
 	if v.Connections <= 0 {
 		return 0
 	}
-	if n := v.deal(v.Connections-v.Connections/idlePart, name, 0); n > 0 {
+	if n := v.deal(v.Connections-v.Connections/busyPart, name, 0); n > 0 {
 		return n
 	}
 	return NoIdle
@@ -77,8 +76,7 @@
 		// Any other first; but where there is no other, it is used.
 		score += restCost
 	}
-	part := float64(hash(v.Self+"\x00"+s.Name)>>11) / (1 << 53)
-	return score + plainLean*part
+	return score + plainLean*v.preference(s)
 }
 
 // selectPlain selects the engine that takes a request whole.
--- a/pairing/plain_test.go
+++ b/pairing/plain_test.go
@@ -99,7 +99,7 @@
 					idle += max(v.IdleConnections("i-1"), 0)
 					inUse += v.connectionShare()
 				}
-				if idle > limit-limit/idlePart || inUse > max(limit, nodes) {
+				if idle > limit-limit/busyPart || inUse > max(limit, nodes) {
 					So(fmt.Sprintf("%d nodes, limit %d: %d unused, %d in use", nodes, limit, idle, inUse), ShouldBeEmpty)
 				}
 			}
