--- a/bench/platform/day.go
+++ b/bench/platform/day.go
@@ -336,6 +336,12 @@
 	return pool[:min(count, len(pool))]
 }
 
+// atLeastOne is an event that strikes one where it does not say how many.
+func (e Event) atLeastOne() Event {
+	e.Count = max(e.Count, 1)
+	return e
+}
+
 // trouble has engines be in trouble for a while.
 func (s *Site) trouble(ctx context.Context, e Event, t Trouble) {
 	some := s.engines(e)
@@ -422,7 +428,7 @@
 		}
 		s.Evacuate(ctx, zone, false)
 	case "leave":
-		for _, one := range s.engines(Event{Count: max(e.Count, 1), Service: e.Service}) {
+		for _, one := range s.engines(e.atLeastOne()) {
 			s.Leave(one)
 			lifecycle.Pause(ctx, gap)
 		}
@@ -431,7 +437,7 @@
 	case "crash", "dark":
 		group := lifecycle.New(ctx)
 		defer group.Stop()
-		for _, one := range s.engines(Event{Count: max(e.Count, 1), Service: e.Service}) {
+		for _, one := range s.engines(e.atLeastOne()) {
 			group.Start(func(ctx context.Context) {
 				if e.Kind == "dark" {
 					_ = s.Dark(ctx, one, down)
@@ -518,7 +524,7 @@
 	case "grey":
 		s.trouble(ctx, e, Trouble{Grey: or(e.X, greyShare), GreyHow: GreyWay(e.How)})
 	case "reuse":
-		return s.Reuse(ctx, s.engines(Event{Count: max(e.Count, 1), Service: e.Service}), e.How)
+		return s.Reuse(ctx, s.engines(e.atLeastOne()), e.How)
 	case "reset":
 		return s.Reset(s.some(e), or(e.X, resetShare))
 	case "seeds":
--- a/bench/platform/plain.go
+++ b/bench/platform/plain.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// plainServices are those of a deployment, by name.
+// service is the plain one of a name, or else the one with stages.
 func (s Spec) service(name string) Service {
 	for _, p := range s.Plain {
 		if p.Name == name {
