--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 3: an old configuration is sent once more on top of a newer one. TROUBLE=0 leaves the disruption out.
+# Case 4: an old configuration is sent once more on top of a newer one. TROUBLE=0 leaves the disruption out.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
