--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -157,7 +157,7 @@
 		s.note("%d of %d requests were served", whole, asked)
 	}
 	if !taken || at > settled+within {
-		s.note("ACKS: not acknowledged within %v of a settled core", within)
+		s.note("Acks: not acknowledged within %v of a settled core", within)
 		return broken
 	}
 	s.audited()
