--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -205,3 +205,36 @@
 	s.audited()
 	return code
 }
+
+// manyRoutes: the configuration grows by 350 routes at a time, as the sheet's big_config does.
+func manyRoutes(ctx context.Context, s *stage) int {
+	const (
+		more  = 350
+		steps = 12
+	)
+	if !s.first(ctx, 20*time.Second) {
+		return failed
+	}
+	s.until(ctx, 8*time.Second)
+	grow := steps
+	if !s.trouble {
+		grow = 1
+	}
+	for range grow {
+		act := s.site.Big(ctx, s.load, more)
+		routes := len(act.Config.Routes)
+		s.note("version %d on top of %d, %d routes: %d", act.Version, act.Based, routes, act.Status)
+		if act.Status/100 != 2 {
+			within := time.Duration(s.site.Spec.Bounds.AckWithin+3*routes) * time.Millisecond
+			lifecycle.Pause(ctx, within)
+			s.site.ReadBack(ctx, true)
+			s.audited()
+			s.note("Acks: a valid configuration is not acknowledged after %v of calm", within)
+			return broken
+		}
+		lifecycle.Pause(ctx, time.Second)
+	}
+	s.site.ReadBack(ctx, true)
+	s.audited()
+	return held
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -57,6 +57,7 @@
 	"last-engine": {lastEngineSpec, lastEngine},
 	"founding":    {nil, founding},
 	"rollback":    {nil, rollback},
+	"many-routes": {nil, manyRoutes},
 }
 
 func main() { os.Exit(run()) }
